--- /dev/null
+++ b/cmd/wirehost/main_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strings"
+	"testing"
+
+	"flintbarrow/internal/wire"
+	"flintbarrow/policy"
+)
+
+const settings = `{"Classes": [{"DeadlineMs": 1000, "Effect": "pure"}], "Limits": {"MaxAttempts": 2}}`
+
+// rec is an event record; its parts are written one after the other.
+func rec(parts ...any) []byte {
+	var b bytes.Buffer
+	for _, p := range parts {
+		if err := binary.Write(&b, binary.BigEndian, p); err != nil {
+			panic(err)
+		}
+	}
+	return append(b.Bytes(), make([]byte, 48-b.Len())...)
+}
+
+func batch(tail string, records ...[]byte) []byte {
+	var b bytes.Buffer
+	body := bytes.Join(records, nil)
+	header := []any{uint32(len(body) + len(tail)), math.Float64bits(5000), uint32(len(records)), uint32(7)}
+	for _, p := range header {
+		if err := binary.Write(&b, binary.BigEndian, p); err != nil {
+			panic(err)
+		}
+	}
+	return append(append(b.Bytes(), body...), tail...)
+}
+
+func instance(n uint16) []byte { return rec(uint8(11), n) }
+
+func open(text string) []byte { return rec(uint8(1), uint64(1), uint32(0), uint32(len(text))) }
+
+// codes lists the action codes of all replies.
+func codes(t *testing.T, out []byte) (all []byte) {
+	t.Helper()
+	for len(out) > 0 {
+		count, size := binary.BigEndian.Uint32(out), binary.BigEndian.Uint32(out[4:])
+		for i := range int(count) {
+			all = append(all, out[12+24*i])
+		}
+		out = out[12+size:]
+	}
+	return all
+}
+
+func TestRunServesABatchAndEndsCleanly(t *testing.T) {
+	entry := "\x0a\x00\x00\x01\x1f\x90" +
+		"\x00\x00\x00\x00\x00\x00\x01\x3f\x80\x00\x00" + strings.Repeat("\x00", 8)
+	in := bytes.Join([][]byte{
+		batch(""),
+		batch(settings, instance(4), open(settings)),
+		batch(entry, instance(4), rec(uint8(2), uint8(2), uint64(1), uint32(0), uint32(1)),
+			rec(uint8(3), uint32(9), uint8(0), uint16(0), uint64(0), float64(800))),
+	}, nil)
+	var out bytes.Buffer
+	if err := run(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if got := codes(t, out.Bytes()); !bytes.Equal(got, []byte{68, 66, 72}) {
+		t.Fatalf("action codes %v, want context, call_out, notify_me", got)
+	}
+}
+
+func TestRunReportsImpossibleSettingsAsFatal(t *testing.T) {
+	text := `{"Classes": [{"DeadlineMs": -5, "Effect": "pure"}]}`
+	var out bytes.Buffer
+	if err := run(bytes.NewReader(batch(text, instance(4), open(text))), &out); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(out.Bytes(), []byte("Classes[0].Deadline")) ||
+		!bytes.Contains(codes(t, out.Bytes()), []byte{77}) {
+		t.Fatalf("reply %q names no field", out.Bytes())
+	}
+}
+
+func TestRunRejectsEventsForNoInstance(t *testing.T) {
+	for name, in := range map[string][]byte{
+		"never opened": batch("", instance(4), rec(uint8(7), uint64(0))),
+		"not named":    batch("", rec(uint8(7), uint64(0))),
+		"stopped": batch(settings, instance(4), open(settings), rec(uint8(10)),
+			rec(uint8(7), uint64(0))),
+	} {
+		var out bytes.Buffer
+		err := run(bytes.NewReader(in), &out)
+		if err == nil || !strings.Contains(err.Error(), "batch 7, record") {
+			t.Errorf("%s: error %v, want batch and record", name, err)
+		}
+	}
+}
+
+// Guards against a panic of the module that takes the whole host down silently.
+func TestPanicIsReportedAsFatal(t *testing.T) {
+	h := host{instances: map[uint16]*policy.Balancer{4: nil}, current: 4}
+	h.reply.Reset()
+	h.reply.For(4)
+	h.handle(&wire.Batch{Number: 7}, &wire.Event{Code: wire.Request})
+	var out bytes.Buffer
+	if err := h.reply.WriteTo(bufio.NewWriter(&out), 7); err != nil {
+		t.Fatal(err)
+	}
+	if got := codes(t, out.Bytes()); !bytes.Equal(got, []byte{68, 77}) ||
+		!bytes.Contains(out.Bytes(), []byte("panic")) {
+		t.Fatalf("action codes %v, want a context and fatal", got)
+	}
+}
--- /dev/null
+++ b/policy/example_test.go
@@ -0,0 +1,67 @@
+package policy_test
+
+import (
+	"fmt"
+	"time"
+
+	"flintbarrow/policy"
+)
+
+// printer is a Host that only tells what it was asked to do.
+type printer struct{ at time.Duration }
+
+func (p *printer) Send(id policy.RequestID, _ policy.ServerID, _ time.Duration) {
+	fmt.Println("send request", id)
+}
+func (p *printer) Cancel(id policy.RequestID, attempt int) { fmt.Println("cancel", id, attempt) }
+func (p *printer) Refuse(id policy.RequestID, after time.Duration) {
+	fmt.Println("refuse request", id, "retry after", after > 0)
+}
+func (p *printer) Fail(id policy.RequestID)            { fmt.Println("fail request", id) }
+func (p *printer) SetTimer(at time.Duration, _ uint64) { p.at = at }
+func (p *printer) WatchList()                          { fmt.Println("watch the list") }
+
+// A request is served, one is retried elsewhere and served, and one is refused
+// because its only server drains.
+func Example() {
+	settings := policy.Defaults()
+	settings.Classes = []policy.Class{{
+		Deadline: 2 * time.Second, Aim: 500 * time.Millisecond, Worth: 1, Effect: policy.Safe,
+	}}
+	settings.Limits.MaxAttempts = 3
+	settings.Limits.MaxRetryAfter = time.Second
+	host := &printer{}
+	b, err := policy.New(settings, 1, host)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Second // any monotonic clock
+	b.Members(now, policy.ListFull, []policy.Entry{
+		{Server: 1, State: policy.Ready, Weight: 1},
+		{Server: 2, State: policy.Ready, Weight: 1},
+	})
+
+	b.Request(now, policy.Request{ID: 1, Left: 2 * time.Second})
+	now += 20 * time.Millisecond
+	b.Outcome(now, policy.Outcome{ID: 1, Status: policy.OK, Ended: true, Latency: 20 * time.Millisecond})
+
+	b.Request(now, policy.Request{ID: 2, Left: 2 * time.Second})
+	b.Outcome(now, policy.Outcome{ID: 2, Status: policy.Error, Latency: time.Millisecond})
+	for range 10 { // timers bring the retry after its backoff
+		now = max(now, host.at)
+		b.Timer(now, 0)
+	}
+	b.Outcome(now, policy.Outcome{
+		ID: 2, Attempt: 1, Status: policy.OK, Ended: true, Latency: 20 * time.Millisecond,
+	})
+
+	b.Members(now, policy.ListFull, nil) // nobody is left
+	b.Request(now, policy.Request{ID: 3, Left: 2 * time.Second})
+
+	// Output:
+	// send request 1
+	// send request 2
+	// send request 2
+	// refuse request 3 retry after true
+}
--- /dev/null
+++ b/policy/invariants_test.go
@@ -0,0 +1,232 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// world plays a random script against one Balancer and checks the rules on each
+// action: one final answer in time, no effect twice, no send after a notice, no
+// attempt too many.
+type world struct {
+	*fakeHost
+	t        *testing.T
+	rng      *rand.Rand
+	b        *Balancer
+	now      time.Duration
+	open     map[RequestID]*played
+	answered map[RequestID]int
+	state    map[ServerID]Entry
+}
+
+type played struct {
+	class    Class
+	end      time.Duration
+	attempts []*playedAttempt
+	done     bool
+}
+
+type playedAttempt struct {
+	server   Entry
+	sent     time.Duration
+	out      bool
+	neverRan bool
+}
+
+func (w *world) Send(id RequestID, server ServerID, timeout time.Duration) {
+	w.fakeHost.Send(id, server, timeout)
+	p, s := w.open[id], w.state[server]
+	switch {
+	case p == nil || p.done:
+		w.t.Errorf("%v: sent request %d, which is finished", w.now, id)
+		return
+	case s.State != Ready:
+		w.t.Errorf("%v: sent request %d to server %d in state %d", w.now, id, server, s.State)
+	case len(p.attempts) >= 4:
+		w.t.Errorf("%v: request %d has too many attempts", w.now, id)
+	}
+	for _, a := range p.attempts {
+		if a.neverRan {
+			continue
+		}
+		if p.class.Effect == Unsafe {
+			w.t.Errorf("%v: unsafe request %d sent again though it may have run", w.now, id)
+		}
+		if p.class.Effect == Keyed && (a.server.Cell != s.Cell || w.now-a.sent >= p.class.Window) {
+			w.t.Errorf("%v: keyed request %d repeated out of its group or window", w.now, id)
+		}
+	}
+	p.attempts = append(p.attempts, &playedAttempt{server: s, sent: w.now, out: true})
+}
+
+func (w *world) answer(id RequestID) *played {
+	w.answered[id]++
+	p := w.open[id]
+	if p == nil || p.done {
+		w.t.Errorf("%v: request %d answered twice", w.now, id)
+		return &played{}
+	}
+	if w.now > p.end+20*ms {
+		w.t.Errorf("%v: request %d answered after its end at %v", w.now, id, p.end)
+	}
+	p.done = true
+	return p
+}
+
+func (w *world) Refuse(id RequestID, after time.Duration) {
+	w.fakeHost.Refuse(id, after)
+	p := w.answer(id)
+	for _, a := range p.attempts {
+		if !a.neverRan && p.class.Effect != Safe {
+			w.t.Errorf("%v: request %d refused though it may have run", w.now, id)
+		}
+	}
+}
+
+func (w *world) Fail(id RequestID) {
+	w.fakeHost.Fail(id)
+	w.answer(id)
+}
+
+// outcome ends attempt i of a request with a random status, or by its deadline.
+func (w *world) outcome(id RequestID, p *played, i int) {
+	a := p.attempts[i]
+	status := []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
+	if w.now >= p.end {
+		status = Timeout
+	}
+	if p.done {
+		status = Cancelled
+	}
+	a.out = false
+	a.neverRan = status == Full || status == ConnectFailed
+	if status == OK {
+		w.answer(id)
+	}
+	w.b.Outcome(w.now, Outcome{ID: id, Attempt: i, Server: a.server.Server, Status: status,
+		Latency: w.now - a.sent, Ended: p.done})
+}
+
+func (w *world) step(ids []RequestID) {
+	for _, id := range ids {
+		p := w.open[id]
+		for i, a := range p.attempts {
+			if a.out && (w.now >= p.end || p.done || w.rng.IntN(12) == 0) {
+				w.outcome(id, p, i)
+			}
+		}
+		if !p.done && w.rng.IntN(400) == 0 {
+			p.done = true
+			w.answered[id]++
+			w.b.Left(w.now, id)
+		}
+	}
+	var due []timer
+	kept := w.timers[:0]
+	for _, t := range w.timers {
+		if t.at <= w.now {
+			due = append(due, t)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	w.timers = kept
+	for _, t := range due {
+		w.b.Timer(w.now, t.token)
+	}
+}
+
+// change drains, removes, restarts or adds a server.
+func (w *world) change(start time.Duration) {
+	id := ServerID(1 + w.rng.IntN(12))
+	e := Entry{Server: id, Cell: int(id) / 3, Weight: 1, State: State(w.rng.IntN(3))}
+	if w.rng.IntN(3) == 0 {
+		e.State, e.Started = Ready, start
+	}
+	w.state[id] = e
+	w.b.Members(w.now, ListDelta, []Entry{e})
+}
+
+func playScript(t *testing.T, seed uint64) []string {
+	set := testSettings()
+	set.Classes[0].LateWorth = 0.5
+	set.Tenants = []Tenant{{QuotaPerS: 50}}
+	w := &world{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
+		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Entry{}}
+	b, err := New(set, seed, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.b = b
+	entries := ready(1, 8)
+	for i := range entries {
+		entries[i].Cell = int(entries[i].Server) / 3
+		w.state[entries[i].Server] = entries[i]
+	}
+	b.Members(w.now, ListCached, entries)
+	var ids []RequestID
+	for step := range 4000 {
+		w.now += 5 * ms
+		for range w.rng.IntN(4) {
+			if step >= 3500 {
+				break // let it run dry
+			}
+			id := RequestID(len(ids) + 1)
+			class := w.rng.IntN(3)
+			left := time.Duration(300+w.rng.IntN(1700)) * ms
+			ids = append(ids, id)
+			w.open[id] = &played{class: set.Classes[class], end: w.now + left}
+			b.Request(w.now, Request{ID: id, Class: class, Left: left})
+		}
+		if w.rng.IntN(60) == 0 {
+			w.change(w.now)
+		}
+		w.step(ids)
+	}
+	for _, id := range ids {
+		if w.answered[id] != 1 {
+			t.Errorf("request %d got %d final answers", id, w.answered[id])
+		}
+	}
+	if len(b.requests) > 0 || len(b.open) > 0 {
+		t.Errorf("%d requests and %d open ones remembered at the end", len(b.requests), len(b.open))
+	}
+	return w.log
+}
+
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playScript(t, seed) })
+	}
+}
+
+func TestSameEventsAndSeedGiveTheSameActions(t *testing.T) {
+	one, two := playScript(t, 3), playScript(t, 3)
+	if a, b := strings.Join(one, "\n"), strings.Join(two, "\n"); a != b {
+		t.Fatal("two runs of the same script differ")
+	}
+}
+
+func TestInterleavedInstancesActAsEachAlone(t *testing.T) {
+	drive := func(rigs ...*rig) {
+		for i := range 300 {
+			for _, r := range rigs {
+				id := r.request(i % 3)
+				r.pass(7 * ms)
+				if n := len(r.sendsOf(id)); n > r.done[id] {
+					r.end(id, OK, 7*ms)
+				}
+			}
+		}
+	}
+	alone, a, b := newRig(t, testSettings(), 5), newRig(t, testSettings(), 5), newRig(t, testSettings(), 5)
+	drive(alone)
+	drive(a, b)
+	want := strings.Join(alone.h.log, "\n")
+	if strings.Join(a.h.log, "\n") != want || strings.Join(b.h.log, "\n") != want {
+		t.Fatal("instances that take turns act unlike one alone")
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,816 @@
+package policy
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// fakeHost records the actions of one Balancer.
+type fakeHost struct {
+	sends   []sent
+	cancels int
+	refused map[RequestID]time.Duration
+	failed  map[RequestID]bool
+	timers  []timer
+	watches int
+	log     []string
+}
+
+type sent struct {
+	id     RequestID
+	server ServerID
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+func newHost() *fakeHost {
+	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+}
+
+func (h *fakeHost) note(format string, args ...any) {
+	h.log = append(h.log, fmt.Sprintf(format, args...))
+}
+
+func (h *fakeHost) Send(id RequestID, server ServerID, timeout time.Duration) {
+	h.note("send %d %d %v", id, server, timeout)
+	h.sends = append(h.sends, sent{id, server})
+}
+
+func (h *fakeHost) Cancel(id RequestID, attempt int) {
+	h.note("cancel %d %d", id, attempt)
+	h.cancels++
+}
+
+func (h *fakeHost) Refuse(id RequestID, after time.Duration) {
+	h.note("refuse %d %v", id, after)
+	h.refused[id] = after
+}
+
+func (h *fakeHost) Fail(id RequestID) {
+	h.note("fail %d", id)
+	h.failed[id] = true
+}
+
+func (h *fakeHost) SetTimer(at time.Duration, token uint64) {
+	h.note("timer %v %d", at, token)
+	h.timers = append(h.timers, timer{at, token})
+}
+
+func (h *fakeHost) WatchList() {
+	h.note("watch")
+	h.watches++
+}
+
+// testSettings has a safe, a keyed and an unsafe class, in this order.
+func testSettings() Settings {
+	s := Defaults()
+	class := Class{Deadline: 2 * time.Second, Aim: 800 * ms, Worth: 1}
+	keyed, unsafe := class, class
+	keyed.Effect, keyed.Scope, keyed.Window = Keyed, ScopeCell, time.Second
+	unsafe.Effect = Unsafe
+	s.Classes = []Class{class, keyed, unsafe}
+	s.Limits = Limits{MaxAttempts: 4, SecondCopies: true, Cancel: true, MaxRetryAfter: time.Second}
+	s.Rules = Rules{
+		ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 3, FallFor: time.Second,
+		MustAsk: 10 * time.Second,
+	}
+	return s
+}
+
+// rig drives a Balancer against a fakeHost, its clock in hand.
+type rig struct {
+	t    *testing.T
+	b    *Balancer
+	h    *fakeHost
+	now  time.Duration
+	next RequestID
+	done map[RequestID]int // outcomes given, by request
+}
+
+func newRig(t *testing.T, set Settings, servers int) *rig {
+	t.Helper()
+	h := newHost()
+	b, err := New(set, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, b: b, h: h, now: time.Hour, done: map[RequestID]int{}}
+	r.list(ListCached, ready(1, servers)...)
+	return r
+}
+
+// ready gives entries for servers first to last, two to a cell, five to a zone.
+func ready(first, last int) []Entry {
+	var entries []Entry
+	for i := first; i <= last; i++ {
+		entries = append(entries, Entry{
+			Server: ServerID(i), Cell: i / 2, Zone: i / 5, State: Ready, Weight: 1,
+		})
+	}
+	return entries
+}
+
+func (r *rig) list(kind ListKind, entries ...Entry) { r.b.Members(r.now, kind, entries) }
+
+func (r *rig) request(class int) RequestID {
+	r.next++
+	r.b.Request(r.now, Request{ID: r.next, Class: class, Left: 2 * time.Second})
+	return r.next
+}
+
+// sendsOf lists the servers that a request was sent to.
+func (r *rig) sendsOf(id RequestID) []ServerID {
+	var servers []ServerID
+	for _, s := range r.h.sends {
+		if s.id == id {
+			servers = append(servers, s.server)
+		}
+	}
+	return servers
+}
+
+// end gives the next outcome of a request.
+func (r *rig) end(id RequestID, status Status, latency time.Duration) {
+	i := r.done[id]
+	r.done[id]++
+	r.b.Outcome(r.now, Outcome{ID: id, Attempt: i, Server: r.sendsOf(id)[i], Status: status, Latency: latency,
+		Ended: status == OK})
+}
+
+// pass lets time go by, firing the timers that fall due.
+func (r *rig) pass(d time.Duration) {
+	for end := r.now + d; ; {
+		due := -1
+		for i, t := range r.h.timers {
+			if t.at <= end && (due < 0 || t.at < r.h.timers[due].at) {
+				due = i
+			}
+		}
+		if due < 0 {
+			r.now = end
+			return
+		}
+		t := r.h.timers[due]
+		r.h.timers = append(r.h.timers[:due], r.h.timers[due+1:]...)
+		r.now = max(r.now, t.at)
+		r.b.Timer(r.now, t.token)
+	}
+}
+
+// serve has n requests of a class answered in a steady time, spread over time.
+func (r *rig) serve(n, class int, latency time.Duration) {
+	for range n {
+		id := r.request(class)
+		r.pass(latency)
+		if r.done[id] < len(r.sendsOf(id)) {
+			r.end(id, OK, latency)
+		}
+	}
+}
+
+func (r *rig) breakers() (count [3]int) {
+	for _, s := range r.b.ready {
+		count[s.breaker]++
+	}
+	return count
+}
+
+func TestBreakerOpensTriesOneRequestAndCloses(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	bad := r.b.ready[0]
+	for range failuresToOpen {
+		r.b.failed(r.now, &attempt{server: bad}, false)
+	}
+	if bad.breaker != open {
+		t.Fatalf("breaker %v after %d failures, want open", bad.breaker, failuresToOpen)
+	}
+	r.serve(20, 0, 50*ms)
+	for _, s := range r.h.sends {
+		if s.server == bad.Server {
+			t.Fatal("an open server was sent a request before its time")
+		}
+	}
+	r.pass(bad.reopenAt - r.now)
+	trial := r.request(0)
+	if got := r.sendsOf(trial); len(got) != 1 || got[0] != bad.Server {
+		t.Fatalf("trial went to %v, want the half-open server %d", got, bad.Server)
+	}
+	if other := r.sendsOf(r.request(0)); len(other) != 1 || other[0] == bad.Server {
+		t.Fatalf("second request went to %v while the trial is out", other)
+	}
+	before := bad.openFor
+	r.end(trial, Error, 5*ms)
+	if bad.breaker != open || bad.openFor != 2*before {
+		t.Fatalf("after a failed trial: breaker %v for %v, want open for %v",
+			bad.breaker, bad.openFor, 2*before)
+	}
+	r.pass(bad.reopenAt - r.now)
+	trial = r.request(0)
+	r.end(trial, OK, 50*ms)
+	if bad.breaker != closed {
+		t.Fatalf("after a good trial: breaker %v, want closed", bad.breaker)
+	}
+}
+
+func TestFailuresOpenOnlyInARowWithinTheWindow(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	s := r.b.ready[0]
+	for range failuresToOpen - 1 {
+		r.b.failed(r.now, &attempt{server: s}, false)
+	}
+	s.succeeded(r.now, nil)
+	r.b.failed(r.now, &attempt{server: s}, false)
+	if s.breaker != closed {
+		t.Fatal("failures with a success between them opened the breaker")
+	}
+	for range 2 * failuresToOpen {
+		r.now += failuresFor / 3
+		r.b.failed(r.now, &attempt{server: s}, false)
+	}
+	if s.breaker != closed {
+		t.Fatal("failures spread wider than the window opened the breaker")
+	}
+}
+
+// Guards against a fleet-wide slowdown that opens every breaker and so refuses all.
+func TestSharedSlownessLeavesHalfOfTheFleetClosed(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	r.b.arrivals.add(r.now, 100) // enough for all servers to be its share
+	r.b.refresh(r.now)
+	for _, s := range r.b.ready {
+		for range 2 * failuresToOpen {
+			r.b.failed(r.now, &attempt{server: s}, true)
+		}
+	}
+	if got := r.breakers(); got[open] != 3 {
+		t.Fatalf("%d of 6 breakers open by slowness, want 3", got[open])
+	}
+}
+
+func TestAllOpenRefusesAtOnceWithRetryAfter(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	for _, s := range r.b.ready {
+		for range failuresToOpen {
+			r.b.failed(r.now, &attempt{server: s}, false)
+		}
+	}
+	id := r.request(2)
+	after, ok := r.h.refused[id]
+	if !ok || after <= 0 || after > time.Second {
+		t.Fatalf("refused %v with retry-after %v, want at once and within the limit", ok, after)
+	}
+	r.pass(2 * openFirst)
+	trial, second := r.request(0), r.request(0)
+	if len(r.sendsOf(trial)) != 1 {
+		t.Fatal("half-open servers must still take their trial")
+	}
+	_ = second
+}
+
+// Guards against a second effect and against a false promise, under every outcome.
+func TestEffectsUnderEveryOutcome(t *testing.T) {
+	const retried, refused, failed = "retried", "refused", "failed"
+	for _, tc := range []struct {
+		class  int
+		status Status
+		want   string
+	}{
+		{0, Error, retried}, {0, Full, retried}, {0, Timeout, retried}, {0, ConnectFailed, retried},
+		{0, Reset, retried}, {0, Moot, retried},
+		{1, Error, retried}, {1, Full, retried}, {1, Timeout, retried}, {1, ConnectFailed, retried},
+		{1, Reset, retried}, {1, Moot, retried},
+		{2, Error, failed}, {2, Full, retried}, {2, Timeout, failed}, {2, ConnectFailed, retried},
+		{2, Reset, failed}, {2, Moot, retried},
+	} {
+		t.Run(fmt.Sprintf("class %d status %d", tc.class, tc.status), func(t *testing.T) {
+			set := testSettings()
+			set.Limits.SecondCopies = false
+			r := newRig(t, set, 9)
+			id := r.request(tc.class)
+			r.pass(20 * ms)
+			r.end(id, tc.status, 20*ms)
+			r.pass(200 * ms)
+			got := "held"
+			_, isRefused := r.h.refused[id]
+			switch {
+			case len(r.sendsOf(id)) == 2:
+				got = retried
+			case isRefused:
+				got = refused
+			case r.h.failed[id]:
+				got = failed
+			}
+			if got != tc.want {
+				t.Fatalf("got %s, want %s", got, tc.want)
+			}
+			if s := r.sendsOf(id); len(s) == 2 {
+				if s[0] == s[1] {
+					t.Fatal("retried at the server that failed")
+				}
+				ran := tc.status == Error || tc.status == Timeout || tc.status == Reset
+				if tc.class == 1 && ran && s[0]/2 != s[1]/2 {
+					t.Fatalf("keyed request left its cell: %v", s)
+				}
+			}
+		})
+	}
+}
+
+// Guards against repeating a keyed request that its group has forgotten.
+func TestKeyedWindow(t *testing.T) {
+	set := testSettings()
+	set.Limits.SecondCopies = false
+	set.Classes[1].Window = 100 * ms
+	r := newRig(t, set, 9)
+	id := r.request(1)
+	r.pass(150 * ms)
+	r.end(id, Error, 150*ms)
+	r.pass(300 * ms)
+	if n := len(r.sendsOf(id)); n != 1 || !r.h.failed[id] {
+		t.Fatalf("%d sends, failed %v; want one send and a failure", n, r.h.failed[id])
+	}
+}
+
+func TestBackoffGrowsAndFitsTheTimeLeft(t *testing.T) {
+	set := testSettings()
+	set.Limits.SecondCopies = false
+	r := newRig(t, set, 9)
+	id := r.request(0)
+	var waits []time.Duration
+	for i := range 3 {
+		from := r.now
+		r.end(id, Error, ms)
+		for len(r.sendsOf(id)) == i+1 && r.now < from+time.Second {
+			r.pass(ms)
+		}
+		waits = append(waits, r.now-from)
+	}
+	if !(waits[0] < waits[1] && waits[1] < waits[2]) || waits[0] < 20*ms {
+		t.Fatalf("waits %v do not grow", waits)
+	}
+	late := r.request(0)
+	r.pass(790 * ms)
+	r.end(late, Error, 790*ms)
+	if _, ok := r.h.refused[late]; !ok {
+		t.Fatal("a retry that cannot be in time must be refused at once")
+	}
+}
+
+// Guards against work sent after a notice, also by retries and held requests.
+func TestNothingAfterADrainNotice(t *testing.T) {
+	set := testSettings()
+	r := newRig(t, set, 2)
+	for i := range 20 { // more than there is room for: some are held
+		r.request(i % 3)
+	}
+	first := r.h.sends[0]
+	r.end(first.id, Error, ms) // waits for its backoff
+	r.list(ListDelta, Entry{Server: 1, State: Draining})
+	r.list(ListDelta, Entry{Server: 2, State: Gone})
+	before := len(r.h.sends)
+	r.pass(3 * time.Second)
+	if len(r.h.sends) != before {
+		t.Fatalf("sent %v after the notices", r.h.sends[before:])
+	}
+	r.list(ListFull, ready(2, 3)...)
+	if id := r.request(0); len(r.sendsOf(id)) != 1 {
+		t.Fatal("the full list's servers are not used")
+	}
+}
+
+func TestWatchedListIsWatchedAgainAfterFailures(t *testing.T) {
+	set := testSettings()
+	set.ListAsked = true
+	r := newRig(t, set, 3)
+	if r.h.watches != 1 {
+		t.Fatalf("%d calls at the start, want 1", r.h.watches)
+	}
+	r.list(ListFailed)
+	r.list(ListFailed)
+	r.pass(set.Rules.MustAsk / 2)
+	if r.h.watches < 2 {
+		t.Fatal("not asked again after a failure")
+	}
+	if len(r.b.ready) != 3 {
+		t.Fatal("a failed call must leave the list in force")
+	}
+}
+
+// Guards against pushing a cold server over, by a burst right after its start
+// and while most of the fleet restarts.
+func TestColdBudget(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		cold int // of ten servers
+	}{{"one server", 1}, {"most of the fleet", 8}, {"all of the fleet", 10}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, testSettings(), 10)
+			r.serve(200, 0, 10*ms)
+			restarted := ready(1, tc.cold)
+			for i := range restarted {
+				restarted[i].Started = r.now
+			}
+			r.list(ListDelta, restarted...)
+			s, c, rules := r.b.servers[1], &r.b.classes[0], r.b.set.Rules
+			r.b.refresh(r.now)
+			part := r.b.warmPart // what a warm server gets
+			var sends []time.Duration
+			for start := r.now; r.now < start+rules.ColdFor; r.now += ms { // the gate alone
+				if work := c.lone + 0.001; r.b.coldBudget(s, r.now, work) {
+					s.coldLeft -= work
+					sends = append(sends, r.now)
+				}
+				within := 0
+				for _, at := range sends {
+					if r.now-at < rules.FallFor {
+						within++
+					}
+				}
+				most := part * rules.FallFor.Seconds() * rules.FallMultiple * r.b.coldShare(s, r.now)
+				if work := float64(within) * c.lone; work > most+c.lone {
+					t.Fatalf("sent %.3f s of work within a window, more than %.3f", work, most)
+				}
+			}
+			if len(sends) == 0 {
+				t.Error("a cold server must get something, or it never shows that it is warm")
+			}
+			if q := r.b.requests[r.request(0)]; !r.b.maySend(r.now, q, s) {
+				t.Error("the budget still holds for a warm server")
+			}
+		})
+	}
+}
+
+// Guards against one send from each of many nodes at once, as soon as the list tells
+// of a start.
+func TestFirstSendsToAColdServerAreSpread(t *testing.T) {
+	const nodes = 40
+	inTenth := map[time.Duration]int{}
+	for seed := range uint64(nodes) {
+		b, err := New(testSettings(), seed, newHost())
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries := ready(1, 3)
+		entries[0].Started = time.Hour
+		b.Members(time.Hour, ListCached, entries)
+		b.refresh(time.Hour)
+		b.warmPart = b.classes[0].lone // thin traffic: a lone request a second
+		wait := time.Duration(0)
+		for ; wait < 10*time.Second; wait += 10 * ms {
+			if b.coldBudget(b.servers[1], time.Hour+wait, b.classes[0].lone) {
+				break
+			}
+		}
+		inTenth[wait/(100*ms)]++
+	}
+	for tenth, n := range inTenth {
+		if n > nodes/4 {
+			t.Errorf("%d of %d nodes sent first in tenth %d of a second after the start", n, nodes, tenth)
+		}
+	}
+}
+
+// Guards against sends by the gate itself to a server that is not ready.
+func TestGateRefusesServersThatAreNotReady(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	q := r.b.newRequest(Request{ID: 9, Left: time.Second}, &r.b.classes[0])
+	q.end = r.now + time.Second
+	s := r.b.ready[0]
+	if !r.b.maySend(r.now, q, s) {
+		t.Fatal("a ready server must pass")
+	}
+	for _, state := range []State{Draining, Gone} {
+		s.State = state
+		if r.b.maySend(r.now, q, s) {
+			t.Errorf("state %d passes the gate", state)
+		}
+	}
+}
+
+// Guards against counting on a server that answers nothing until its time-outs.
+func TestSilentServerIsLeftBeforeAnyTimeout(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	r.serve(100, 0, 20*ms)
+	silent := r.b.ready[2]
+	for range 60 {
+		id := r.request(0)
+		r.pass(20 * ms)
+		for _, s := range r.sendsOf(id)[r.done[id]:] {
+			if s != silent.Server {
+				r.done[id] = len(r.sendsOf(id)) - 1
+				r.end(id, OK, 20*ms)
+				break
+			}
+		}
+	}
+	if n := len(silent.out); n > 3 {
+		t.Fatalf("%d requests wait at a server that answers nothing", n)
+	}
+	for _, a := range silent.out {
+		if len(a.request.attempts) != 2 {
+			t.Fatal("no second copy was sent for a request that got no answer")
+		}
+	}
+}
+
+// Guards against taking a server that turns requests away for an idle one: it took
+// 38 of 100 sends on a day when two servers had hung and were full.
+func TestFullServerLosesItsScore(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	r.serve(30, 0, 20*ms)
+	id := r.request(0)
+	full := r.sendsOf(id)[0]
+	r.end(id, Full, 0)
+	r.pass(ms)
+	r.b.refresh(r.now)
+	for _, s := range r.b.mine {
+		if s.Server != full && s.score <= r.b.servers[full].score {
+			t.Fatalf("the full server scores %.2f, another %.2f", r.b.servers[full].score, s.score)
+		}
+	}
+}
+
+// Guards against a crowd at the servers: what they cannot take waits here, and
+// what would be late is refused while trying elsewhere still helps.
+func TestRequestsBeyondTheBoundWaitAndAreShedInTime(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	for range 10 {
+		r.request(0)
+	}
+	if n := len(r.h.sends); n > 4 {
+		t.Fatalf("%d requests in flight at two unknown servers", n)
+	}
+	r.pass(790 * ms)
+	if n := len(r.h.refused); n < 6 {
+		t.Fatalf("%d of the held requests refused before their aim had passed", n)
+	}
+}
+
+// Guards against one tenant's surplus taking the room of the others.
+func TestOverShareTrafficWaitsBehindTheRest(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{QuotaPerS: 2}, {QuotaPerS: 100}}
+	set.OverShareWorth = 0.05
+	r := newRig(t, set, 1)
+	ask := func(tenant int) RequestID {
+		r.next++
+		r.b.Request(r.now, Request{ID: r.next, Tenant: tenant, Left: 2 * time.Second})
+		return r.next
+	}
+	first := ask(0)
+	ask(0)
+	over, within := ask(0), ask(1)
+	for i := RequestID(1); i < within; i++ {
+		if i != over && len(r.sendsOf(i)) > r.done[i] {
+			r.end(i, OK, 10*ms)
+		}
+	}
+	_ = first
+	if len(r.sendsOf(over)) != 0 || len(r.sendsOf(within)) != 1 {
+		t.Fatal("a request over its tenant's share was served first")
+	}
+}
+
+func TestScorePrefersSuccessThenLatencyThenFewerInFlight(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	good, slow, failing := r.b.ready[0], r.b.ready[1], r.b.ready[2]
+	for range 50 {
+		good.record(r.now, true, 1)
+		slow.record(r.now, true, 5)
+		failing.record(r.now, true, 1)
+		failing.record(r.now, false, 0)
+	}
+	r.b.refresh(r.now)
+	if !(good.score > slow.score && good.score > failing.score) {
+		t.Fatalf("scores: good %.2f slow %.2f failing %.2f", good.score, slow.score, failing.score)
+	}
+	if better(good, slow) != good || better(failing, good) != good {
+		t.Fatal("the better score lost")
+	}
+	twin := &server{score: good.score - nearTie/2}
+	good.out = append(good.out, &attempt{})
+	if better(good, twin) != twin {
+		t.Fatal("a near-tie must go to fewer requests in flight")
+	}
+}
+
+func TestUnmeasuredServerStandsAtTheMean(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	for range 20 {
+		r.b.ready[0].record(r.now, true, 1)
+		r.b.ready[1].record(r.now, true, 3)
+	}
+	r.b.refresh(r.now)
+	s := r.b.ready
+	if !(s[0].score > s[2].score && s[2].score > s[1].score) {
+		t.Fatalf("scores %.2f %.2f, unmeasured %.2f: not between", s[0].score, s[1].score, s[2].score)
+	}
+	r.b.refresh(r.now + 2*outcomesFor)
+	if s[0].score != s[1].score {
+		t.Fatal("old outcomes still count: a server that was bad once is never met again")
+	}
+}
+
+func TestStaleEventsAreHarmless(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	id := r.request(0)
+	r.end(id, OK, 10*ms)
+	before := len(r.h.log)
+	r.b.Outcome(r.now, Outcome{ID: id, Attempt: 0, Status: OK})
+	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: Error})
+	r.b.Outcome(r.now, Outcome{ID: id, Attempt: -1, Status: Error})
+	r.b.Left(r.now, id)
+	r.b.Started(r.now, id, 0)
+	r.b.Timer(r.now, 77)
+	r.list(ListDelta, Entry{Server: 55, State: Gone})
+	if len(r.h.log) != before {
+		t.Fatalf("stale events led to %v", r.h.log[before:])
+	}
+	r.b.Request(r.now, Request{ID: 1000, Class: 9, Left: time.Second})
+	if _, ok := r.h.refused[1000]; !ok {
+		t.Fatal("a request of an unknown class got no answer")
+	}
+}
+
+func TestStreamBelongsToTheClientOnceStarted(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Stream = true
+	r := newRig(t, set, 4)
+	id := r.request(0)
+	r.b.Started(r.now, id, 0)
+	r.pass(10 * time.Second) // long after the deadline
+	if len(r.sendsOf(id)) != 1 || r.h.failed[id] || r.h.cancels > 0 {
+		t.Fatalf("a running stream was touched: %v", r.h.log)
+	}
+}
+
+func TestSettingsThatAreImpossible(t *testing.T) {
+	nan := 0.0
+	nan /= nan
+	for _, tc := range []struct {
+		field  string
+		change func(*Settings)
+	}{
+		{"Nodes", func(s *Settings) { s.Nodes = 0 }},
+		{"Zone", func(s *Settings) { s.Zone = -1 }},
+		{"Classes", func(s *Settings) { s.Classes = nil }},
+		{"Classes[1].Deadline", func(s *Settings) { s.Classes[1].Deadline = 0 }},
+		{"Classes[0].Aim", func(s *Settings) { s.Classes[0].Aim = -1 }},
+		{"Classes[0].AimStretch", func(s *Settings) { s.Classes[0].AimStretch = nan }},
+		{"Classes[0].LateWorth", func(s *Settings) { s.Classes[0].LateWorth = 1.5 }},
+		{"Classes[0].Worth", func(s *Settings) { s.Classes[0].Worth = nan }},
+		{"Classes[0].Effect", func(s *Settings) { s.Classes[0].Effect = 9 }},
+		{"Classes[0].Scope", func(s *Settings) { s.Classes[0].Scope = 9 }},
+		{"Classes[0].Window", func(s *Settings) { s.Classes[0].Window = -1 }},
+		{"Tenants[0].QuotaPerS", func(s *Settings) { s.Tenants = []Tenant{{QuotaPerS: -1}} }},
+		{"OverShareWorth", func(s *Settings) { s.OverShareWorth = nan }},
+		{"Limits.MaxAttempts", func(s *Settings) { s.Limits.MaxAttempts = 0 }},
+		{"Limits.MaxRetryAfter", func(s *Settings) { s.Limits.MaxRetryAfter = -1 }},
+		{"Rules.ColdFrom", func(s *Settings) { s.Rules.ColdFrom = 2 }},
+		{"Rules.ColdFor", func(s *Settings) { s.Rules.ColdFor = -1 }},
+		{"Rules.FallMultiple", func(s *Settings) { s.Rules.FallMultiple = nan }},
+		{"Rules.FallFor", func(s *Settings) { s.Rules.FallFor = -1 }},
+		{"Rules.MustAsk", func(s *Settings) { s.Rules.MustAsk = -1 }},
+	} {
+		set := testSettings()
+		tc.change(&set)
+		if _, err := New(set, 1, newHost()); err == nil ||
+			!strings.Contains(err.Error(), "setting "+tc.field+" ") {
+			t.Errorf("%s: error %v does not name it", tc.field, err)
+		}
+	}
+}
+
+// The module is ported by hand: it must stay small and readable.
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("policy.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for i, line := range bytes.Split(text, []byte("\n")) {
+		line = bytes.ReplaceAll(line, []byte("\t"), []byte("    "))
+		if len(line) > 110 {
+			t.Errorf("policy.go:%d has %d characters", i+1, len(line))
+		}
+		if len(bytes.TrimSpace(line)) > 0 {
+			count++
+		}
+	}
+	if count > 550 {
+		t.Errorf("policy.go has %d lines that are not blank, 550 at most", count)
+	}
+}
+
+// Guards against a final answer after the grace: sweeps come every 10 ms, a grace may
+// be shorter, and a tick may be longer than either.
+func TestAnswerComesInTimeWhateverTheTick(t *testing.T) {
+	for _, tick := range []time.Duration{ms, 5 * ms, 50 * ms} {
+		set := testSettings()
+		set.Tick, set.Rules.AnswerGrace = tick, 5*ms
+		r := newRig(t, set, 0)
+		r.list(ListFull, ready(1, 1)...)
+		for range 40 {
+			r.request(0) // far more than there is room for
+		}
+		const left = 122*ms + ms/2
+		r.b.classes[2].lone = 0.0001 // so that it is worth holding to the last
+		r.next++
+		start := r.now
+		r.b.Request(r.now, Request{ID: r.next, Class: 2, Left: left})
+		for r.now < start+left+set.Rules.AnswerGrace {
+			r.now += tick // batches, and so timers, come a tick apart
+			due := r.h.timers
+			r.h.timers = nil
+			for _, x := range due {
+				if x.at <= r.now {
+					r.b.Timer(r.now, x.token)
+				} else {
+					r.h.timers = append(r.h.timers, x)
+				}
+			}
+			if _, refused := r.h.refused[r.next]; refused {
+				break
+			}
+		}
+		if _, refused := r.h.refused[r.next]; !refused || r.now > start+left+set.Rules.AnswerGrace {
+			t.Errorf("tick %v: refused %v, %v after the end", tick, refused, r.now-start-left)
+		}
+	}
+}
+
+// Guards against a breaker that never closes again because all traffic is unsafe.
+func TestUnsafeRequestTakesATrialThatNobodyElseTook(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	s := r.b.ready[0]
+	for range failuresToOpen {
+		r.b.failed(r.now, &attempt{server: s}, false)
+	}
+	r.now = s.reopenAt + ms
+	if id := r.request(2); len(r.sendsOf(id)) != 0 {
+		t.Fatal("an unsafe request took the trial at once, where a safe one could come")
+	}
+	r.pass(s.openFor + ms)
+	if r.request(2); len(r.h.sends) != 1 {
+		t.Fatal("nobody else took the trial, and an unsafe request did not either")
+	}
+}
+
+// Guards against attempts sent to a server's former process, which fill the room of
+// the new one though no answer to them comes.
+func TestRestartFreesTheRoomOfTheFormerProcess(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	first, second := r.request(0), r.request(0)
+	if r.b.out != 2 {
+		t.Fatalf("%d attempts out, want 2", r.b.out)
+	}
+	restarted := ready(1, 2)
+	for i := range restarted {
+		restarted[i].Started = r.now
+	}
+	r.now += ms
+	r.list(ListDelta, restarted...)
+	if r.b.out != 0 || len(r.b.servers[1].out)+len(r.b.servers[2].out) != 0 {
+		t.Fatalf("%d attempts fill the room of new processes", r.b.out)
+	}
+	r.end(first, Reset, ms)
+	r.end(second, Timeout, time.Second)
+	if r.b.out < 0 {
+		t.Fatalf("%d attempts out", r.b.out)
+	}
+}
+
+// Guards against books that go wrong when a server leaves the list and comes back while
+// attempts are out there, and when events name what is over.
+func TestRelistedServerAndStaleEventsKeepTheBooks(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	first, second := r.request(0), r.request(2)
+	r.list(ListFull, ready(2, 2)...)
+	r.list(ListFull, ready(1, 2)...)
+	if len(r.b.ready) != 2 {
+		t.Fatalf("%d servers ready after one came back, want 2", len(r.b.ready))
+	}
+	r.end(first, OK, 20*ms)
+	r.b.Left(r.now, first) // in the batch of its end
+	r.b.Left(r.now, second)
+	if r.h.cancels != 1 || len(r.h.refused)+len(r.h.failed) != 0 {
+		t.Fatalf("%d cancels, answers %v %v; want one cancel", r.h.cancels, r.h.refused, r.h.failed)
+	}
+	r.end(second, Cancelled, 20*ms)
+	r.b.Outcome(r.now, Outcome{ID: second, Status: OK}) // repeated
+	r.b.Outcome(r.now, Outcome{ID: 999, Attempt: 3, Status: Error})
+	r.b.Started(r.now, 999, 0)
+	if r.b.out != 0 || len(r.b.requests) != 0 || len(r.b.open) != 0 {
+		t.Fatalf("%d out, %d known, %d open at the end", r.b.out, len(r.b.requests), len(r.b.open))
+	}
+}
--- /dev/null
+++ b/policy/settings.go
@@ -0,0 +1,123 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults gives the settings that hold where a site says nothing: no repeats
+// beyond the first attempt, no copies, no cancels, and the strictest known
+// figures for drains and cold servers.
+func Defaults() Settings {
+	return Settings{
+		Nodes:          1,
+		OverShareWorth: 1,
+		Tick:           10 * time.Millisecond,
+		Limits:         Limits{MaxAttempts: 1},
+		Rules: Rules{
+			ColdFrom: 0.1, ColdFor: 30 * time.Second,
+			FallMultiple: 2, FallFor: time.Second,
+			MustAsk: 10 * time.Second,
+		},
+	}
+}
+
+// New makes a Balancer. An impossible setting gives an error that names it.
+func New(set Settings, seed uint64, host Host) (*Balancer, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0)),
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		meanSuccess: 1, meanLatency: 1, refreshed: -1, watchDelay: watchAgain, sweepAt: never,
+		limit: float64(min(3, set.Nodes)), sharers: float64(set.Nodes),
+	}
+	b.set.Limits.MaxAttempts = min(set.Limits.MaxAttempts, 16) // whatever the settings allow
+	for _, c := range set.Classes {
+		if c.Aim == 0 {
+			c.Aim = c.Deadline
+		}
+		b.classes = append(b.classes, class{
+			Class: c, lone: c.Aim.Seconds() / 4, loneSeen: 1, work: c.Aim.Seconds() / 4, seen: 1,
+		})
+	}
+	for i := range b.classes {
+		if set.WorthByWork {
+			b.classes[i].work = 1
+		}
+	}
+	b.typical = b.classes[0].lone
+	for _, t := range set.Tenants {
+		rate := t.QuotaPerS / float64(set.Nodes)
+		b.tenants = append(b.tenants, bucket{perSecond: rate, tokens: rate})
+	}
+	return b, nil
+}
+
+// check returns an error that names the first impossible field.
+func (s *Settings) check() error {
+	bad := func(field string, v any) error {
+		return fmt.Errorf("policy: setting %s is impossible: %v", field, v)
+	}
+	number := func(v, least float64) bool { return v >= least && !math.IsInf(v, 1) } // NaN fails too
+	switch {
+	case s.Nodes < 1:
+		return bad("Nodes", s.Nodes)
+	case s.Node < 0:
+		return bad("Node", s.Node)
+	case s.Zone < 0:
+		return bad("Zone", s.Zone)
+	case len(s.Classes) == 0:
+		return bad("Classes", "none given")
+	case !number(s.OverShareWorth, 0):
+		return bad("OverShareWorth", s.OverShareWorth)
+	case s.Limits.MaxAttempts < 1:
+		return bad("Limits.MaxAttempts", s.Limits.MaxAttempts)
+	case s.Limits.MaxRetryAfter < 0:
+		return bad("Limits.MaxRetryAfter", s.Limits.MaxRetryAfter)
+	case !number(s.Rules.ColdFrom, 0) || s.Rules.ColdFrom > 1:
+		return bad("Rules.ColdFrom", s.Rules.ColdFrom)
+	case s.Rules.ColdFor < 0:
+		return bad("Rules.ColdFor", s.Rules.ColdFor)
+	case !number(s.Rules.FallMultiple, 0):
+		return bad("Rules.FallMultiple", s.Rules.FallMultiple)
+	case s.Rules.FallFor < 0:
+		return bad("Rules.FallFor", s.Rules.FallFor)
+	case s.Tick < 0:
+		return bad("Tick", s.Tick)
+	case s.Rules.AnswerGrace < 0:
+		return bad("Rules.AnswerGrace", s.Rules.AnswerGrace)
+	case s.Rules.MustAsk < 0:
+		return bad("Rules.MustAsk", s.Rules.MustAsk)
+	}
+	for i, c := range s.Classes {
+		field := func(name string) string { return fmt.Sprintf("Classes[%d].%s", i, name) }
+		switch {
+		case c.Deadline <= 0:
+			return bad(field("Deadline"), c.Deadline)
+		case c.Aim < 0:
+			return bad(field("Aim"), c.Aim)
+		case !number(c.AimStretch, 0):
+			return bad(field("AimStretch"), c.AimStretch)
+		case !number(c.LateWorth, 0) || c.LateWorth > 1:
+			return bad(field("LateWorth"), c.LateWorth)
+		case !number(c.Worth, 0):
+			return bad(field("Worth"), c.Worth)
+		case c.Effect > Unsafe:
+			return bad(field("Effect"), c.Effect)
+		case c.Scope > ScopeCell:
+			return bad(field("Scope"), c.Scope)
+		case c.Window < 0:
+			return bad(field("Window"), c.Window)
+		}
+	}
+	for i, t := range s.Tenants {
+		if !number(t.QuotaPerS, 0) {
+			return bad(fmt.Sprintf("Tenants[%d].QuotaPerS", i), t.QuotaPerS)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,440 @@
+package policy
+
+// What a Balancer remembers, and the bookkeeping on it. Nothing is decided here.
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+type breaker uint8
+
+const (
+	closed breaker = iota
+	open
+	halfOpen
+)
+
+// outcome is one judged attempt: whether it succeeded, and its latency as a
+// multiple of what a lone request of its class takes.
+type outcome struct {
+	at      time.Duration
+	ok      bool
+	latency float64
+}
+
+type server struct {
+	Entry
+	breaker  breaker
+	near     bool            // in this node's zone
+	place    uint64          // on the ring, the same at every node
+	failures []time.Duration // consecutive failures within the window
+	openFor  time.Duration
+	reopenAt time.Duration // when open: turns half-open
+	trial    *attempt      // when half-open: the one trial that is out
+
+	ring       [outcomesKept]outcome
+	head, kept int
+	good       int     // successes in the ring
+	latencySum float64 // of the successes in the ring
+	answeredAt time.Duration
+	score      float64 // as of the last refresh
+	success    float64
+	latency    float64
+
+	out      []*attempt // own attempts in flight, oldest first
+	lone     float64    // mean latency, as a logarithm over its class's, of attempts sent alone
+	loneSeen float64
+	coldLeft float64       // work that it may be sent while it is cold,
+	coldAt   time.Duration // as of then
+}
+
+// meter is an exponentially decaying rate of work per second.
+type meter struct {
+	at    time.Duration
+	value float64
+}
+
+const meterSpan = 2.0 // seconds
+
+func (m *meter) add(now time.Duration, work float64) {
+	m.value = m.perSecond(now) + work/meterSpan
+	m.at = now
+}
+
+func (m *meter) perSecond(now time.Duration) float64 {
+	gone := (now - m.at).Seconds() / meterSpan
+	return m.value / (1 + gone + gone*gone/2) // close to exp(-gone)
+}
+
+type attempt struct {
+	server     *server
+	request    *request
+	zone, cell int
+	sent       time.Duration
+	out        bool
+	neverRan   bool
+	lone       bool // no other attempt of ours was out at the server
+	silent     bool // counted as a failure for its silence
+}
+
+type request struct {
+	Request
+	class    *class
+	end      time.Duration // the client gives up
+	useful   time.Duration // an answer after this is worth nothing
+	worth    float64       // what an answer is worth now
+	attempts []attempt
+	out      int
+	retryAt  time.Duration // waits for its backoff if not 0
+	held     bool
+	stream   bool
+	done     bool
+	index    int // place in Balancer.open
+}
+
+type class struct {
+	Class
+	lone     float64 // mean latency of a lone request of mean size, seconds
+	loneSeen float64
+	work     float64 // mean latency of all its served requests; 1 where worth counts by work
+	seen     float64
+	hint     float64 // mean hint, seconds
+	hinted   float64
+}
+
+// bucket is a token bucket of one second's worth; without a rate it never ends.
+type bucket struct {
+	perSecond, tokens float64
+	at                time.Duration
+}
+
+func (t *bucket) take(now time.Duration) bool {
+	t.tokens = min(max(t.perSecond, 1), t.tokens+t.perSecond*(now-t.at).Seconds())
+	t.at = now
+	if t.perSecond > 0 && t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// Balancer decides for one node. Create it with New.
+type Balancer struct {
+	set     Settings
+	host    Host
+	rng     *rand.Rand
+	classes []class
+	tenants []bucket
+
+	servers map[ServerID]*server
+	ready   []*server // listed as ready, in the order of the ring
+	mine    []*server // this node's share of them
+	sharers float64   // nodes that a server is shared by, on average
+
+	shareStale bool
+	shareSize  int // closed servers wanted in the share
+	sharedAt   time.Duration
+	arrivals   meter // requests
+
+	closed   int // servers of the share, as of the last refresh
+	awaiting int // half-open ones that await their trial
+	choices  []*server
+
+	requests map[RequestID]*request
+	open     []*request // those that are not done
+	held     []*request // those that wait for room, the most worth first
+	pool     []*request
+
+	refreshed   time.Duration
+	meanSuccess float64
+	meanLatency float64 // multiple of a lone request's
+	sent        meter   // work sent
+	warm        int     // warm servers whose breaker is closed, as of the last refresh
+	warmPart    float64 // work a second that a server got from all nodes while most were warm
+	out         int     // own attempts in flight, but for silent ones
+	meanOut     float64 // the same, over a while
+	meanAt      time.Duration
+	limit       float64 // bound on them for each ready server; may be below one
+	crowded     bool
+	limitKnown  float64 // the highest lately without a crowd
+	typical     float64 // mean latency of late, seconds
+	steered     time.Duration
+	crowding    float64 // mean latency over a lone request's at the same server, as a logarithm
+	sweepAt     time.Duration
+	watchDelay  time.Duration
+}
+
+func (s *server) forget(oldest *outcome) {
+	s.kept--
+	if oldest.ok {
+		s.good--
+		s.latencySum -= oldest.latency
+	}
+}
+
+func (s *server) record(now time.Duration, ok bool, latency float64) {
+	if s.kept == outcomesKept {
+		s.forget(&s.ring[s.head])
+	}
+	s.ring[s.head] = outcome{now, ok, latency}
+	s.head = (s.head + 1) % outcomesKept
+	s.kept++
+	if ok {
+		s.good++
+		s.latencySum += latency
+	}
+}
+
+// tally drops outcomes that are too old and sums up the rest over the fleet.
+func (b *Balancer) tally(now time.Duration) {
+	kept, good, latency := 0, 0, 0.0
+	b.warm = 0
+	for _, s := range b.mine {
+		for s.kept > 0 {
+			oldest := &s.ring[(s.head+outcomesKept-s.kept)%outcomesKept]
+			if now-oldest.at < outcomesFor {
+				break
+			}
+			s.forget(oldest)
+		}
+		if s.breaker == closed && b.coldShare(s, now) >= 1 {
+			b.warm++
+		}
+		kept += s.kept
+		good += s.good
+		latency += s.latencySum
+	}
+	if kept > 0 {
+		b.meanSuccess = float64(good) / float64(kept)
+	}
+	if good > 0 {
+		b.meanLatency = latency / float64(good)
+	}
+}
+
+// average brings the mean of the requests in flight up to date.
+func (b *Balancer) average(now time.Duration) {
+	b.meanOut += (float64(b.out) - b.meanOut) * min((now-b.meanAt).Seconds()/meanOutSpan, 1)
+	b.meanAt = now
+}
+
+// list applies a list or changes to one. What a server was found to be is kept
+// while it stays the same process; a restart makes it unmeasured again.
+func (b *Balancer) list(kind ListKind, entries []Entry) {
+	if kind != ListDelta {
+		for _, s := range b.ready {
+			s.State = Gone
+		}
+		b.ready = b.ready[:0]
+	}
+	for _, e := range entries {
+		s := b.servers[e.Server]
+		if s == nil {
+			s = &server{openFor: openFirst, place: ringPlace(e)}
+			b.servers[e.Server] = s
+		} else if e.Started != s.Started {
+			for _, a := range s.out {
+				b.silence(a) // sent to the former process, which answers no more
+			}
+			*s = server{Entry: s.Entry, openFor: openFirst, place: s.place}
+		}
+		listed := s.State == Ready
+		s.Entry = e
+		s.near = e.Zone == b.set.Zone
+		if e.State == Ready && !listed {
+			b.ready = append(b.ready, s)
+		}
+	}
+	kept := b.ready[:0]
+	for _, s := range b.ready {
+		if s.State == Ready {
+			kept = append(kept, s)
+		}
+	}
+	b.ready = kept
+	b.shareStale = true
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.place, y.place) })
+	for id, s := range b.servers {
+		if s.State == Gone && len(s.out) == 0 {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// ringPlace orders the servers alike at every node, those of a cell side by side
+// so that a share holds the group that a keyed request is bound to.
+func ringPlace(e Entry) uint64 {
+	mix := func(x uint64) uint64 { // the finalizer of splitmix64
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		x = (x ^ x>>27) * 0x94d049bb133111eb
+		return x ^ x>>31
+	}
+	return mix(uint64(e.Cell)+0x9e3779b97f4a7c15)&^(1<<32-1) | mix(uint64(e.Server))>>32
+}
+
+// newRequest adds a request to the open ones.
+func (b *Balancer) newRequest(q Request, c *class) *request {
+	if q.Hint > 0 {
+		c.hinted = min(c.hinted+1, 64)
+		c.hint += (q.Hint.Seconds() - c.hint) / c.hinted
+	}
+	var r *request
+	if n := len(b.pool); n > 0 {
+		r = b.pool[n-1]
+		b.pool = b.pool[:n-1]
+	} else {
+		// The attempts are never grown: servers point into them.
+		r = &request{attempts: make([]attempt, 0, b.set.Limits.MaxAttempts)}
+	}
+	*r = request{Request: q, class: c, attempts: r.attempts[:0], index: len(b.open)}
+	b.requests[q.ID] = r
+	b.open = append(b.open, r)
+	return r
+}
+
+// hold puts a request into the queue.
+func (b *Balancer) hold(r *request) {
+	low, high := 0, len(b.held)
+	for low < high {
+		if mid := (low + high) / 2; r.before(b.held[mid]) {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	b.held = slices.Insert(b.held, low, r)
+	r.held = true
+}
+
+// begin puts a new attempt on the books.
+func (b *Balancer) begin(now time.Duration, r *request, s *server) *attempt {
+	r.attempts = append(r.attempts, attempt{
+		server: s, request: r, zone: s.Zone, cell: s.Cell, sent: now, out: true,
+		lone: len(s.out) == 0 && float64(b.out)*b.sharers <= 3*float64(len(b.mine)),
+	})
+	a := &r.attempts[len(r.attempts)-1]
+	r.out++
+	b.out++
+	s.out = append(s.out, a)
+	return a
+}
+
+// find gives the attempt that an event is about; nil if it is not out.
+func (b *Balancer) find(id RequestID, index int) (*request, *attempt) {
+	r := b.requests[id]
+	if r == nil || index < 0 || index >= len(r.attempts) || !r.attempts[index].out {
+		return nil, nil
+	}
+	return r, &r.attempts[index]
+}
+
+// ended takes an attempt off the books.
+func (b *Balancer) ended(r *request, a *attempt) {
+	a.out = false
+	r.out--
+	if !a.silent {
+		b.out--
+	}
+	if i := slices.Index(a.server.out, a); i >= 0 {
+		a.server.out = slices.Delete(a.server.out, i, i+1)
+	}
+}
+
+func (c *class) sameGroup(a *attempt, s *server) bool {
+	switch c.Scope {
+	case ScopeZone:
+		return a.zone == s.Zone
+	case ScopeCell:
+		return a.cell == s.Cell
+	}
+	return true
+}
+
+func (r *request) tried(s *server) bool {
+	for i := range r.attempts {
+		if r.attempts[i].server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// size is the request's work as a multiple of its class's mean, where hinted.
+func (r *request) size() float64 {
+	if r.Hint <= 0 || r.class.hint <= 0 {
+		return 1
+	}
+	return min(max(r.Hint.Seconds()/r.class.hint, 0.25), 4)
+}
+
+// close takes a request off the books once it is done and its attempts are in.
+func (b *Balancer) close(r *request) {
+	if !r.done {
+		r.done = true
+		last := b.open[len(b.open)-1]
+		b.open[r.index] = last
+		last.index = r.index
+		b.open = b.open[:len(b.open)-1]
+	}
+	if r.out == 0 && b.requests[r.ID] == r {
+		delete(b.requests, r.ID)
+		if !r.held { // else dispatch drops it from the queue first
+			b.pool = append(b.pool, r)
+		}
+	}
+}
+
+// lastUse is when an answer loses its last worth.
+func (r *request) lastUse() time.Duration {
+	if r.class.LateWorth > 0 {
+		return r.end
+	}
+	return r.useful
+}
+
+// loneLatency is what the request should take on a server of its own, in seconds.
+func (b *Balancer) loneLatency(r *request) float64 { return r.class.lone*r.size() + 0.001 }
+
+// expected is what the request should take at present.
+func (b *Balancer) expected(r *request) time.Duration {
+	return time.Duration(b.loneLatency(r) * b.meanLatency * float64(time.Second))
+}
+
+// jitter spreads a delay by a fifth either way, so that doubled delays still grow.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.8 + 0.4*b.rng.Float64()))
+}
+
+func (b *Balancer) notClosed() (count int) {
+	for _, s := range b.mine {
+		if s.breaker != closed {
+			count++
+		}
+	}
+	return count
+}
+
+// measure takes in how long a served request took, compared to lone ones of its
+// class at its server.
+func (b *Balancer) measure(a *attempt, r *request, latency float64) {
+	c := r.class
+	b.typical += (latency - b.typical) / 64
+	c.seen = min(c.seen+1, 400)
+	if !b.set.WorthByWork {
+		c.work += (latency - c.work) / c.seen // by all answers: lone ones are rare in a busy fleet
+	}
+	if a.lone && (c.loneSeen < 12 || b.crowding < crowdingAim/2) {
+		c.loneSeen = min(c.loneSeen+1, 400)
+		c.lone += (min(latency/r.size(), c.Aim.Seconds()/3) - c.lone) / c.loneSeen
+	}
+	relative := math.Log(max(latency, 1e-4) / (c.lone * r.size()))
+	if a.lone && b.crowding < crowdingAim {
+		a.server.loneSeen = min(a.server.loneSeen+1, 16)
+		a.server.lone += (relative - a.server.lone) / (a.server.loneSeen + b.sharers)
+	}
+	b.crowding += (relative - a.server.lone - b.crowding) / 32
+}
