--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"flintbarrow/internal/wire"
+	"flintbarrow/policy"
+)
+
+// Limits is what the node's machine grants it.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that a node is told at its start.
+type Config struct {
+	Name           string
+	Listen         string // where clients connect
+	Discovery      string // address of discovery
+	Seed           uint64
+	Limits         Limits
+	Known          registry // the list as this node last had it
+	Policy         policy.Settings
+	Classes        map[string]int // name to index in Policy.Classes
+	Tenants        map[string]int // name to index in Policy.Tenants
+	Zones          map[string]int
+	ConnIdle       time.Duration // servers close a connection that was idle for so long
+	ConnectTimeout time.Duration
+}
+
+// The names and socket figures among the settings that the module does not need.
+type nodeSettings struct {
+	Accounts, Classes []struct{ Name string }
+	Zones             []string
+	Limits            struct{ ConnIdleMs, ConnectTimeoutMs float64 }
+}
+
+// LoadConfig reads the file named by BALANCER_CONFIG; the other BALANCER
+// variables, where set, go before what the file says.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("BALANCER_CONFIG")
+	if path == "" {
+		return nil, errors.New("BALANCER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, to := range map[string]*string{
+		"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen, "BALANCER_DISCOVERY": &c.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*to = v
+		}
+	}
+	if c.Listen == "" || c.Discovery == "" {
+		return nil, fmt.Errorf("configuration %s: listen and discovery are required", path)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (*Config, error) {
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        Limits
+		Known                         registry
+		Settings                      json.RawMessage
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	if len(file.Settings) == 0 {
+		return nil, errors.New("settings are missing")
+	}
+	c := &Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known,
+		Classes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
+		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond,
+	}
+	var err error
+	if file.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
+		return nil, errors.New("limits: negative")
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = 1024
+	}
+	if c.Limits.Sockets < 64 {
+		return nil, fmt.Errorf("limits: %d sockets are too few", c.Limits.Sockets)
+	}
+	if c.Policy, err = wire.ParseSettings(file.Settings); err != nil {
+		return nil, err
+	}
+	var own nodeSettings
+	if err := json.Unmarshal(file.Settings, &own); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for i, x := range own.Classes {
+		c.Classes[x.Name] = i
+	}
+	for i, x := range own.Accounts {
+		c.Tenants[x.Name] = i
+	}
+	for i, x := range own.Zones {
+		c.Zones[x] = i
+	}
+	if d := millis(own.Limits.ConnIdleMs); d > 0 {
+		c.ConnIdle = d
+	}
+	if d := millis(own.Limits.ConnectTimeoutMs); d > 0 {
+		c.ConnectTimeout = d
+	}
+	return c, nil
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// longestDeadline is how long a request taken now may still be open.
+func (c *Config) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Policy.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"flintbarrow/policy"
+)
+
+const (
+	watchWait    = 5 * time.Second // what a watch asks discovery to wait
+	watchSlack   = time.Second     // and how much longer the answer may take
+	backoffFirst = 100 * time.Millisecond
+	backoffMost  = time.Second
+	maxList      = 8 << 20 // bytes of a list
+)
+
+// registry is discovery's list, or what changed in it.
+type registry struct {
+	Generation uint64     `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []instance `json:"instances"`
+}
+
+// instance is a line of the list.
+type instance struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+// id is the same at every node, which the module's ring of servers relies on.
+func (in *instance) id() policy.ServerID {
+	h := fnv.New64a()
+	io.WriteString(h, in.InstanceID)
+	return policy.ServerID(h.Sum64())
+}
+
+// state takes a word that it doesn't know for one that allows nothing new.
+func (in *instance) state() policy.State {
+	switch in.Lifecycle {
+	case "Ready":
+		return policy.Ready
+	case "Gone":
+		return policy.Gone
+	}
+	return policy.Draining
+}
+
+// discovery follows the list of servers.
+type discovery struct {
+	url        string
+	loop       *loop
+	zones      map[string]int
+	asked      bool // watches load discovery: the module says when to start one
+	wanted     chan struct{}
+	generation uint64
+	client     *http.Client
+	unixZero   time.Time // wall time at the zero of the loop's clock
+}
+
+func newDiscovery(cfg *Config, l *loop) *discovery {
+	d := &discovery{
+		url: "http://" + cfg.Discovery + "/registry/instances", loop: l, zones: cfg.Zones,
+		asked: cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
+		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
+		unixZero: l.zero.Round(0),
+	}
+	l.watch = func() {
+		select {
+		case d.wanted <- struct{}{}:
+		default: // one is wanted already
+		}
+	}
+	return d
+}
+
+// run starts from the list as it was known and follows it until the context ends.
+func (d *discovery) run(ctx context.Context, known registry, ready func()) {
+	d.generation = known.Generation
+	if len(known.Instances) > 0 {
+		d.tell(policy.ListCached, known.Instances)
+		ready()
+	} else if d.asked {
+		d.tell(policy.ListCached, nil) // has the module ask for the list
+	}
+	delay := backoffFirst
+	watching := !d.asked
+	for ctx.Err() == nil {
+		if !watching {
+			select {
+			case <-d.wanted:
+			case <-ctx.Done():
+				return
+			}
+		}
+		list, err := d.get(ctx)
+		if err == nil {
+			delay, watching = backoffFirst, true
+			d.generation = list.Generation
+			switch {
+			case list.Reset:
+				d.tell(policy.ListFull, list.Instances)
+			case len(list.Instances) > 0:
+				d.tell(policy.ListDelta, list.Instances)
+			}
+			ready()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Warn("discovery failed", "err", err)
+		if d.asked {
+			watching = false
+			d.tell(policy.ListFailed, nil) // it asks again after a while
+			continue
+		}
+		// Nodes that lost discovery together must not come back in step.
+		select {
+		case <-time.After(delay/2 + rand.N(delay/2)):
+		case <-ctx.Done():
+		}
+		delay = min(2*delay, backoffMost)
+	}
+}
+
+// get asks for what is newer than the list at hand, and waits for it. With no
+// list at hand it asks for all.
+func (d *discovery) get(ctx context.Context) (registry, error) {
+	var list registry
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	url := d.url
+	if d.generation > 0 {
+		url += "?after=" + strconv.FormatUint(d.generation, 10) +
+			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return list, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return list, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if err := json.Unmarshal(text, &list); err != nil {
+		return list, fmt.Errorf("list: %w", err)
+	}
+	if d.generation == 0 && !list.Reset {
+		list.Reset = true // it was asked for all
+	}
+	return list, nil
+}
+
+// tell hands the loop a list. Lines with no id, or no address where one is needed, are left out.
+func (d *discovery) tell(kind policy.ListKind, list []instance) {
+	var usable []instance
+	var entries []policy.Entry
+	for _, in := range list {
+		state := in.state()
+		if in.InstanceID == "" || (in.HostPort == "" && state == policy.Ready) {
+			continue
+		}
+		zone, ok := d.zones[in.Zone]
+		if !ok {
+			zone = len(d.zones) // no zone of ours
+		}
+		usable = append(usable, in)
+		entries = append(entries, policy.Entry{
+			Server: in.id(), Zone: zone, Cell: in.Cell, State: state,
+			Weight: max(0, in.Weight), Started: d.started(in.StartedAtMs),
+		})
+	}
+	d.loop.members(kind, usable, entries)
+}
+
+// started maps wall time onto the loop's clock, always by the same difference:
+// a start that moved would look like a restart.
+func (d *discovery) started(unixMs int64) time.Duration {
+	if unixMs <= 0 {
+		return 0
+	}
+	return max(0, time.UnixMilli(unixMs).Sub(d.unixZero))
+}
--- /dev/null
+++ b/internal/node/upstream.go
@@ -0,0 +1,353 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"flintbarrow/policy"
+)
+
+const (
+	maxBody      = 64 << 10         // bytes of a message's body
+	maxAnswer    = maxBody + 64<<10 // of a server's answer with head and framing
+	maxInterim   = 8                // 1xx answers ahead of the real one
+	idlePart     = 0.6              // of the servers' idle time, after which a connection is retired
+	idlePerServe = 32               // idle connections kept to a server
+)
+
+// outgoing is what of a client's request goes on to a server.
+type outgoing struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header // end-to-end ones
+	body   []byte
+}
+
+// result is how an attempt ended, and the answer if it was served.
+type result struct {
+	status policy.Status
+	header http.Header
+	body   []byte
+}
+
+// call is the socket side of one attempt.
+type call struct {
+	ctx  context.Context
+	stop context.CancelFunc // gives the attempt up: its connection is closed
+	gate atomic.Int32
+}
+
+const (
+	unsent int32 = iota
+	sending
+	revoked
+)
+
+func newCall(ctx context.Context) *call {
+	c := &call{}
+	c.ctx, c.stop = context.WithCancel(ctx)
+	return c
+}
+
+// revoke bars the call from being written if that has not begun.
+func (c *call) revoke() { c.gate.CompareAndSwap(unsent, revoked) }
+
+// upstreams holds the servers' addresses and the idle connections to them. The
+// connections are its own, not those of an http.Transport: that one sends a
+// request again by itself, which would be an attempt nobody decided on.
+type upstreams struct {
+	idleFor        time.Duration
+	connectTimeout time.Duration
+	maxOpen        int
+
+	mu      sync.Mutex
+	servers map[policy.ServerID]*server
+	open    int // connections to all servers, those being opened included
+}
+
+// server is where a server listens, under one start of it.
+type server struct {
+	addr    string
+	started int64
+	idle    []*conn // the one used last at the end
+	gone    bool    // or restarted, or moved: connections are not kept
+}
+
+// conn is a connection to a server.
+type conn struct {
+	net.Conn
+	server *server
+	reader *bufio.Reader
+	budget int // bytes that the present answer may still have
+	since  time.Time
+}
+
+var errTooLarge = errors.New("answer too large")
+
+// Read bounds what a server may send for one request.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.budget <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
+	c.budget -= n
+	return n, err
+}
+
+// stale tells whether the peer has closed an idle connection or sent what nobody asked for.
+func (c *conn) stale() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err != nil || !quiet
+}
+
+func newUpstreams(cfg *Config, maxOpen int) *upstreams {
+	return &upstreams{
+		idleFor:        time.Duration(float64(cfg.ConnIdle) * idlePart),
+		connectTimeout: cfg.ConnectTimeout, maxOpen: maxOpen,
+		servers: map[policy.ServerID]*server{},
+	}
+}
+
+// update follows the list. A server at a new address or with a new start is
+// another process: connections to the former one are dropped.
+func (u *upstreams) update(full bool, list []instance) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	listed := map[policy.ServerID]bool{}
+	for _, in := range list {
+		id := in.id()
+		old := u.servers[id]
+		if in.state() == policy.Gone {
+			u.drop(id, old)
+			continue
+		}
+		listed[id] = true
+		if old != nil && old.addr == in.HostPort && old.started == in.StartedAtMs {
+			continue
+		}
+		u.drop(id, old)
+		u.servers[id] = &server{addr: in.HostPort, started: in.StartedAtMs}
+	}
+	if !full {
+		return
+	}
+	for id, s := range u.servers {
+		if !listed[id] {
+			u.drop(id, s)
+		}
+	}
+}
+
+// drop forgets a server; u.mu is held.
+func (u *upstreams) drop(id policy.ServerID, s *server) {
+	if s == nil {
+		return
+	}
+	s.gone = true
+	for _, c := range s.idle {
+		u.shut(c)
+	}
+	s.idle = nil
+	delete(u.servers, id)
+}
+
+// shut closes a connection; u.mu is held.
+func (u *upstreams) shut(c *conn) {
+	u.open--
+	c.Conn.Close()
+}
+
+// retire closes connections that were idle for too long, until the context ends.
+func (u *upstreams) retire(ctx context.Context) {
+	tick := time.NewTicker(max(u.idleFor/8, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		u.mu.Lock()
+		for _, s := range u.servers {
+			n := 0
+			for n < len(s.idle) && time.Since(s.idle[n].since) > u.idleFor {
+				u.shut(s.idle[n])
+				n++
+			}
+			s.idle = append(s.idle[:0], s.idle[n:]...)
+		}
+		u.mu.Unlock()
+	}
+}
+
+// take gives an idle connection, or leave to open one: nil and the server. At
+// the cap it makes room at the expense of another server's idle connection.
+func (u *upstreams) take(id policy.ServerID) (*conn, *server, policy.Status) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.servers[id]
+	if s == nil {
+		return nil, nil, policy.ConnectFailed
+	}
+	for n := len(s.idle); n > 0; n = len(s.idle) {
+		c := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		// The server closes idle connections too, and a request written to one
+		// that is closed counts as one that may have run.
+		if time.Since(c.since) <= u.idleFor && !c.stale() {
+			return c, s, policy.OK
+		}
+		u.shut(c)
+	}
+	if u.open >= u.maxOpen && !u.evict() {
+		return nil, nil, policy.Moot // nobody's fault, and nothing was sent
+	}
+	u.open++
+	return nil, s, policy.OK
+}
+
+// evict closes the connection that is idle for longest; u.mu is held.
+func (u *upstreams) evict() bool {
+	var from *server
+	for _, s := range u.servers {
+		if len(s.idle) > 0 && (from == nil || s.idle[0].since.Before(from.idle[0].since)) {
+			from = s
+		}
+	}
+	if from == nil {
+		return false
+	}
+	u.shut(from.idle[0])
+	from.idle = from.idle[1:]
+	return true
+}
+
+// put takes a connection back, for the next request if keep.
+func (u *upstreams) put(c *conn, keep bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !keep || c.server.gone || len(c.server.idle) >= idlePerServe {
+		u.shut(c)
+		return
+	}
+	c.since = time.Now()
+	c.server.idle = append(c.server.idle, c)
+}
+
+// connect gives a connection to a server, idle or new.
+func (u *upstreams) connect(ctx context.Context, id policy.ServerID) (*conn, policy.Status) {
+	c, s, status := u.take(id)
+	if c != nil || status != policy.OK {
+		return c, status
+	}
+	dialer := net.Dialer{Timeout: u.connectTimeout, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", s.addr)
+	if err != nil {
+		u.mu.Lock()
+		u.open--
+		u.mu.Unlock()
+		return nil, policy.ConnectFailed
+	}
+	c = &conn{Conn: nc, server: s}
+	c.reader = bufio.NewReader(c)
+	return c, policy.OK
+}
+
+// send makes one attempt and tells how it ended. The caller stops the call
+// when it gives up; what comes back then is of no interest.
+func (u *upstreams) send(c *call, id policy.ServerID, o *outgoing, left time.Duration) result {
+	started := time.Now()
+	conn, status := u.connect(c.ctx, id)
+	if conn == nil {
+		return result{status: status}
+	}
+	unhook := context.AfterFunc(c.ctx, func() { conn.Conn.Close() })
+	if !c.gate.CompareAndSwap(unsent, sending) {
+		u.put(conn, unhook())
+		return result{status: policy.Moot}
+	}
+	res, keep := conn.exchange(o, left-time.Since(started))
+	u.put(conn, unhook() && keep)
+	return res
+}
+
+// exchange writes the request and reads the answer. The last byte of the
+// request being written decides whether it may have run.
+func (c *conn) exchange(o *outgoing, left time.Duration) (result, bool) {
+	req := &http.Request{
+		Method: o.method, URL: o.url, Host: o.host, Header: o.header.Clone(),
+		Body: http.NoBody, ContentLength: int64(len(o.body)),
+	}
+	if len(o.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(o.body))
+	}
+	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	var message bytes.Buffer
+	if err := req.Write(&message); err != nil {
+		return result{status: policy.Moot}, true
+	}
+	if _, err := c.Conn.Write(message.Bytes()); err != nil {
+		return result{status: policy.ConnectFailed}, false
+	}
+	c.budget = maxAnswer
+	resp, err := http.ReadResponse(c.reader, req)
+	for n := 0; err == nil && resp.StatusCode/100 == 1; n++ {
+		if resp.StatusCode == http.StatusSwitchingProtocols || n == maxInterim {
+			return result{status: policy.Error}, false
+		}
+		resp, err = http.ReadResponse(c.reader, req)
+	}
+	if err != nil {
+		return result{status: broken(err)}, false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	switch {
+	case err != nil:
+		return result{status: broken(err)}, false
+	case len(body) > maxBody:
+		return result{status: policy.Error}, false
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return result{status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
+	}
+	keep := !resp.Close && c.reader.Buffered() == 0 // more than the answer: out of step
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return result{status: policy.OK, header: endToEnd(resp.Header), body: body}, keep
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Not-Processed") == "1":
+		return result{status: policy.Full}, keep
+	}
+	return result{status: policy.Error}, keep
+}
+
+// broken tells a connection that ended from an answer that makes no sense.
+func broken(err error) policy.Status {
+	var network *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		return policy.Reset
+	}
+	return policy.Error
+}
