Watch the list after version 0 too

A probe logged each discovery answer: 125,000 calls a node, each for the whole list and answered within 0.1 ms, the version being 0. Ruled out: the loop's timers and the retiring of connections (too few). At fault: discovery.go took version 0 for having no list, and asked for all of it each time. Now having a list is kept apart from its version, and an answer that comes at once is followed by a short pause.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	watchWait    = 5 * time.Second // what a watch asks discovery to wait
-	watchSlack   = time.Second     // and how much longer the answer may take
+	watchWait    = 5 * time.Second       // what a watch asks discovery to wait
+	watchSlack   = time.Second           // and how much longer the answer may take
+	watchPause   = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = time.Second
 	maxList      = 8 << 20 // bytes of a list
@@ -66,6 +67,7 @@
 	zones      map[string]int
 	asked      bool // watches load discovery: the module says when to start one
 	wanted     chan struct{}
+	listed     bool // a list is at hand; its generation may well be 0
 	generation uint64
 	client     *http.Client
 	unixZero   time.Time // wall time at the zero of the loop's clock
@@ -90,7 +92,8 @@
 // run starts from the list as it was known and follows it until the context ends.
 func (d *discovery) run(ctx context.Context, known registry, ready func()) {
 	d.generation = known.Generation
-	if len(known.Instances) > 0 {
+	d.listed = len(known.Instances) > 0
+	if d.listed {
 		d.tell(policy.ListCached, known.Instances)
 		ready()
 	} else if d.asked {
@@ -106,10 +109,11 @@
 				return
 			}
 		}
+		asked := time.Now()
 		list, err := d.get(ctx)
 		if err == nil {
 			delay, watching = backoffFirst, true
-			d.generation = list.Generation
+			d.listed, d.generation = true, list.Generation
 			switch {
 			case list.Reset:
 				d.tell(policy.ListFull, list.Instances)
@@ -117,6 +121,10 @@
 				d.tell(policy.ListDelta, list.Instances)
 			}
 			ready()
+			if time.Since(asked) < watchPause {
+				// A discovery that doesn't wait must not be asked in a loop without a breath.
+				pause(ctx, watchPause)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -129,14 +137,18 @@
 			continue
 		}
 		// Nodes that lost discovery together must not come back in step.
-		select {
-		case <-time.After(delay/2 + rand.N(delay/2)):
-		case <-ctx.Done():
-		}
+		pause(ctx, delay/2+rand.N(delay/2))
 		delay = min(2*delay, backoffMost)
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // get asks for what is newer than the list at hand, and waits for it. With no
 // list at hand it asks for all.
 func (d *discovery) get(ctx context.Context) (registry, error) {
@@ -144,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	url := d.url
-	if d.generation > 0 {
+	if d.listed {
 		url += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
 	}
@@ -167,7 +179,7 @@
 	if err := json.Unmarshal(text, &list); err != nil {
 		return list, fmt.Errorf("list: %w", err)
 	}
-	if d.generation == 0 && !list.Reset {
+	if !d.listed {
 		list.Reset = true // it was asked for all
 	}
 	return list, nil
