--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"runtime/debug"
 
-	"flintbarrow/internal/wire"
-	"flintbarrow/policy"
+	"yokestall/internal/wire"
+	"yokestall/policy"
 )
 
 func main() {
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"flintbarrow/internal/wire"
-	"flintbarrow/policy"
+	"yokestall/internal/wire"
+	"yokestall/policy"
 )
 
 const settings = `{"Classes": [{"DeadlineMs": 1000, "Effect": "pure"}], "Limits": {"MaxAttempts": 2}}`
--- a/cmd/yokestall/main.go
+++ b/cmd/yokestall/main.go
@@ -11,7 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"flintbarrow/internal/node"
+	"yokestall/internal/node"
 )
 
 func main() {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"flintbarrow/internal/wire"
-	"flintbarrow/policy"
+	"yokestall/internal/wire"
+	"yokestall/policy"
 )
 
 // Limits is what the node's machine grants it.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 const (
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 const (
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 const (
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 // ms reads a time in milliseconds; it stays at its default where a key is absent.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"math"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 // The sizes of a frame's parts, in bytes.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 func unhex(t testing.TB, text string) []byte {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"flintbarrow/policy"
+	"yokestall/policy"
 )
 
 // printer is a Host that only tells what it was asked to do.
