Test the node over loopback sockets

Cause: the node had no tests of its own, and the watch after version 0 had cost a core. Each row of the outcomes table, retries, silence, stale and moved connections, drains, refusals, bad requests, discovery's failures, both caps, SIGTERM and bad configurations are now covered, on port 0 and waiting on events. A break inside an answer's head was told as an error, not a reset; the connection now keeps how its reading ended.

--- /dev/null
+++ b/cmd/yokestall/main_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+const settings = `{"Classes": [{"Name": "pay", "Effect": "side_effect", "DeadlineMs": 8000}], "Zones": ["a"]}`
+
+func TestBadConfiguration(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty":             ``,
+		"no object":         `[1]`,
+		"cut off":           `{"listen": "127.0.0.1:0"`,
+		"no settings":       `{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}`,
+		"no class":          `{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {}}`,
+		"no address":        `{"settings": ` + settings + `}`,
+		"malformed address": `{"listen": "nowhere", "discovery": "127.0.0.1:1", "settings": ` + settings + `}`,
+		"malformed seed":    `{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "x", "settings": ` + settings + `}`,
+		"negative limit":    `{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "limits": {"cores": -1}, "settings": ` + settings + `}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			t.Setenv("BALANCER_CONFIG", path)
+			err := run()
+			if err == nil || strings.Contains(err.Error(), "\n") {
+				t.Errorf("ended with %v, want one plain line", err)
+			}
+		})
+	}
+	t.Setenv("BALANCER_CONFIG", filepath.Join(t.TempDir(), "none.json"))
+	if err := run(); err == nil {
+		t.Error("started with no file")
+	}
+}
+
+// SIGTERM ends the program in good order: what it holds is answered first.
+func TestSIGTERM(t *testing.T) {
+	got, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(got)
+		<-release
+		io.WriteString(w, "done")
+	}))
+	defer server.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	free.Close()
+	config, err := json.Marshal(map[string]any{
+		"listen": addr, "discovery": "127.0.0.1:1", "settings": json.RawMessage(settings),
+		"known": map[string]any{"generation": 1, "instances": []any{map[string]any{
+			"instanceId": "s-1", "hostPort": server.Listener.Addr().String(), "lifecycle": "Ready", "zone": "a",
+		}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("BALANCER_CONFIG", path)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
+		resp, err := http.Get("http://" + addr + "/health/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ready")
+		}
+	}
+	answered := make(chan string, 1)
+	go func() {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/pay", nil)
+		r.Header.Set("X-Request-ID", "a1")
+		r.Header.Set("X-Timeout-Ms", "8000")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		answered <- string(body)
+	}()
+	expect := func(c <-chan struct{}) {
+		select {
+		case <-c:
+		case <-time.After(patience):
+			t.Fatal("the request does not arrive")
+		}
+	}
+	expect(got)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	select {
+	case a := <-answered:
+		if a != "done" {
+			t.Errorf("answer %q", a)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("does not end")
+	}
+}
--- /dev/null
+++ b/internal/node/harness_test.go
@@ -0,0 +1,300 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // for what must happen; a failure only, never a pace
+
+const settingsText = `{
+	"Accounts": [{"Name": "acme", "QuotaPerS": 1000}],
+	"Classes": [
+		{"Name": "read", "Effect": "pure", "DeadlineMs": 8000, "PromiseMs": 6000, "Importance": 1},
+		{"Name": "push", "Effect": "token", "DedupScope": "all", "KeyTtlMs": 20000, "DeadlineMs": 8000, "PromiseMs": 6000},
+		{"Name": "pay", "Effect": "side_effect", "DeadlineMs": 8000, "PromiseMs": 6000}],
+	"Limits": {"Cancel": true, "ConnIdleMs": 15000, "ConnectTimeoutMs": 2000, "MaxAttempts": 3,
+		"MaxRetryAfterMs": 600, "RetryAfter": true, "SecondCopies": true},
+	"RegistryMode": "pushed", "TickMs": 5, "Zones": ["a"], "Novel": {"x": 1}}`
+
+// registryStub is a discovery service whose list the test sets.
+type registryStub struct {
+	*httptest.Server
+	mu      sync.Mutex
+	list    []instance
+	version int
+	down    bool
+	changed chan struct{} // closed at the next change
+	calls   chan string   // queries as they come, as far as there is room
+}
+
+func newRegistry(t *testing.T, list ...instance) *registryStub {
+	d := &registryStub{list: list, changed: make(chan struct{}), calls: make(chan string, 4096)}
+	d.Server = httptest.NewServer(d)
+	t.Cleanup(d.Close)
+	t.Cleanup(func() { d.set(func() {}) })
+	return d
+}
+
+// set makes a change and wakes the watches.
+func (d *registryStub) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+	d.version++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// change makes a change and waits for the watch that follows the news of it: the
+// node has taken the change in before it calls again.
+func (d *registryStub) change(t *testing.T, change func()) {
+	t.Helper()
+	d.set(change)
+	d.mu.Lock()
+	after := fmt.Sprintf("after=%d&", d.version)
+	d.mu.Unlock()
+	for !strings.HasPrefix(wait(t, d.calls, "the watch after the change"), after) {
+	}
+}
+
+func (d *registryStub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case d.calls <- r.URL.RawQuery:
+	default:
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	d.mu.Lock()
+	if err == nil && after >= d.version && !d.down {
+		changed := d.changed
+		d.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		}
+		d.mu.Lock()
+	}
+	defer d.mu.Unlock()
+	if d.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	json.NewEncoder(w).Encode(registry{Generation: uint64(d.version), Reset: true, Instances: d.list})
+}
+
+// backend is a server that tells the test what reaches it.
+type backend struct {
+	*httptest.Server
+	got chan *http.Request
+}
+
+func newBackend(t *testing.T, handle http.HandlerFunc) *backend {
+	b := &backend{got: make(chan *http.Request, 1000)}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		b.got <- r
+		handle(w, r)
+	}))
+	t.Cleanup(func() { b.CloseClientConnections(); b.Close() })
+	return b
+}
+
+func (b *backend) instance(id string) instance {
+	return instance{InstanceID: id, HostPort: b.Listener.Addr().String(), Zone: "a", Lifecycle: "Ready", Weight: 1}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") }
+
+// reset breaks the connection off.
+func reset(w http.ResponseWriter, _ *http.Request) {
+	nc, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		nc.Close()
+	}
+}
+
+// silent takes requests and answers none until its client leaves.
+func silent(left chan<- struct{}) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		select {
+		case left <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// testConfig gives a configuration as read from a file.
+func testConfig(t *testing.T, d *registryStub, change func(file map[string]any)) *Config {
+	t.Helper()
+	file := map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": d.Listener.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
+		"settings": json.RawMessage(settingsText), "novel": true,
+	}
+	if change != nil {
+		change(file)
+	}
+	text, err := json.Marshal(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := LoadConfig(func(name string) string {
+		return map[string]string{"BALANCER_CONFIG": path}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// running is a node that serves.
+type running struct {
+	t    *testing.T
+	addr string
+	stop context.CancelFunc
+	done chan error // gets what Run returned
+}
+
+func start(t *testing.T, cfg *Config) *running {
+	t.Helper()
+	n, err := Listen(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{t: t, addr: n.Addr().String(), stop: cancel, done: make(chan error, 1)}
+	ended := make(chan struct{})
+	go func() { r.done <- n.Run(ctx); close(ended) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Error("the node does not stop")
+		}
+	})
+	return r
+}
+
+// startReady starts a node before the given servers and waits until it is ready.
+func startReady(t *testing.T, backends ...*backend) (*running, *registryStub) {
+	t.Helper()
+	var list []instance
+	for i, b := range backends {
+		list = append(list, b.instance(fmt.Sprintf("s-%d", i)))
+	}
+	d := newRegistry(t, list...)
+	n := start(t, testConfig(t, d, nil))
+	n.waitReady(http.StatusOK)
+	return n, d
+}
+
+func (n *running) waitReady(status int) {
+	n.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		resp, err := http.Get("http://" + n.addr + "/health/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == status {
+			return
+		}
+	}
+	n.t.Fatalf("readiness never became %d", status)
+}
+
+var lastID struct {
+	sync.Mutex
+	n int
+}
+
+// request makes a valid request of a class.
+func (n *running) request(class string) *http.Request {
+	lastID.Lock()
+	lastID.n++
+	id := fmt.Sprintf("%016x", lastID.n)
+	lastID.Unlock()
+	method, body := http.MethodPost, []byte(`{"x":1}`)
+	if class == "read" {
+		method, body = http.MethodGet, nil
+	}
+	r, err := http.NewRequest(method, "http://"+n.addr+"/"+class+"?obj=7f3a%2F9c&z", bytes.NewReader(body))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	r.Header.Set("X-Request-ID", id)
+	r.Header.Set("X-Tenant-Id", "acme")
+	r.Header.Set("X-Timeout-Ms", "8000")
+	if class == "push" {
+		r.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	return r
+}
+
+// reply is an answer read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	took   time.Duration
+}
+
+func (n *running) do(r *http.Request) reply {
+	n.t.Helper()
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		n.t.Fatalf("no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		n.t.Fatalf("no whole answer: %v", err)
+	}
+	return reply{resp.StatusCode, resp.Header, string(body), time.Since(began)}
+}
+
+func wait[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+		panic("unreachable")
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,411 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func TestServesUnchanged(t *testing.T) {
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Kept", "yes")
+		w.Header().Set("Keep-Alive", "timeout=5")
+		io.WriteString(w, "rooms")
+	})
+	n, _ := startReady(t, b)
+	r := n.request("push")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "1")
+	a := n.do(r)
+	if a.status != http.StatusOK || a.body != "rooms" || a.header.Get("X-Kept") != "yes" || a.header.Get("Keep-Alive") != "" {
+		t.Errorf("answer %+v", a)
+	}
+	got := wait(t, b.got, "the request")
+	body, _ := io.ReadAll(got.Body)
+	if got.Method != "POST" || got.RequestURI != "/push?obj=7f3a%2F9c&z" || string(body) != `{"x":1}` {
+		t.Errorf("the server got %s %s %q", got.Method, got.RequestURI, body)
+	}
+	for _, name := range []string{"X-Request-ID", "Idempotency-Key", "X-Tenant-Id"} {
+		if got.Header.Get(name) != r.Header.Get(name) {
+			t.Errorf("%s: %q became %q", name, r.Header.Get(name), got.Header.Get(name))
+		}
+	}
+	if got.Header.Get("X-Hop") != "" {
+		t.Error("a hop-by-hop header went on")
+	}
+	if left, err := strconv.Atoi(got.Header.Get("X-Timeout-Ms")); err != nil || left <= 0 || left >= 8000 {
+		t.Errorf("X-Timeout-Ms %q", got.Header.Get("X-Timeout-Ms"))
+	}
+}
+
+// firstFails gives two servers of which whichever is met first runs fail.
+func firstFails(t *testing.T, fail http.HandlerFunc) []*backend {
+	var met atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if met.CompareAndSwap(false, true) {
+			fail(w, r)
+			return
+		}
+		ok(w, r)
+	}
+	return []*backend{newBackend(t, handle), newBackend(t, handle)}
+}
+
+func serverError(w http.ResponseWriter, _ *http.Request) { http.Error(w, "oops", 500) }
+
+func turnAway(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Processed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestRetries(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		fail        http.HandlerFunc
+		sends       int
+		status      int
+	}{
+		{"safe after an error", "read", serverError, 2, 200},
+		{"safe after a reset", "read", reset, 2, 200},
+		{"keyed after an error", "push", serverError, 2, 200},
+		{"keyed after a reset", "push", reset, 2, 200},
+		{"unsafe after an error", "pay", serverError, 1, 502},
+		{"unsafe after a reset", "pay", reset, 1, 502},
+		{"unsafe that was turned away", "pay", turnAway, 2, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bs := firstFails(t, c.fail)
+			n, _ := startReady(t, bs...)
+			r := n.request(c.class)
+			a := n.do(r)
+			if sends := len(bs[0].got) + len(bs[1].got); a.status != c.status || sends != c.sends {
+				t.Fatalf("status %d after %d sends, want %d after %d", a.status, sends, c.status, c.sends)
+			}
+			for _, b := range bs {
+				for len(b.got) > 0 {
+					got := <-b.got
+					for _, name := range []string{"X-Request-ID", "Idempotency-Key"} {
+						if got.Header.Get(name) != r.Header.Get(name) {
+							t.Errorf("%s changed to %q", name, got.Header.Get(name))
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// A server that says nothing must not keep the client past its time, and once
+// the client has its answer nothing more is sent and the attempt is given up.
+func TestSilentServer(t *testing.T) {
+	left := make(chan struct{}, 1)
+	b := newBackend(t, silent(left))
+	n, _ := startReady(t, b)
+	r := n.request("pay")
+	r.Header.Set("X-Timeout-Ms", "300")
+	a := n.do(r)
+	if a.status != http.StatusBadGateway || a.took < 200*time.Millisecond {
+		t.Errorf("status %d after %v", a.status, a.took)
+	}
+	wait(t, left, "the attempt to be given up")
+	if len(b.got) != 1 {
+		t.Errorf("%d sends", len(b.got))
+	}
+}
+
+func TestClientGone(t *testing.T) {
+	left := make(chan struct{}, 1)
+	b := newBackend(t, silent(left))
+	n, _ := startReady(t, b)
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.request("read").Write(nc); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, b.got, "the request")
+	nc.Close()
+	wait(t, left, "the attempt to be given up")
+}
+
+// The server closes a connection after its answer without saying so. A request
+// written to it would be lost for a class that must not be repeated.
+func TestStaleIdleConnection(t *testing.T) {
+	closed := make(chan struct{}, 10)
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		nc, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+		nc.Close()
+		closed <- struct{}{}
+	})
+	n, _ := startReady(t, b)
+	for range 5 {
+		if a := n.do(n.request("pay")); a.status != http.StatusOK {
+			t.Fatalf("status %d", a.status)
+		}
+		wait(t, closed, "the server's close")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	a, b := newBackend(t, ok), newBackend(t, ok)
+	n, d := startReady(t, a, b)
+	d.change(t, func() { d.list[0].Lifecycle = "Terminating" })
+	for range 20 {
+		if r := n.do(n.request("read")); r.status != http.StatusOK {
+			t.Fatalf("status %d", r.status)
+		}
+	}
+	if len(a.got) != 0 || len(b.got) != 20 {
+		t.Errorf("%d sends to the draining server, %d to the other", len(a.got), len(b.got))
+	}
+	d.change(t, func() { d.list = d.list[:1] })
+	if r := n.do(n.request("read")); r.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d with no server left", r.status)
+	}
+}
+
+// A server that moved is another process: what stands open to the old one is dropped.
+func TestServerMoves(t *testing.T) {
+	a, b := newBackend(t, ok), newBackend(t, ok)
+	n, d := startReady(t, a)
+	n.do(n.request("read"))
+	d.change(t, func() { d.list = []instance{b.instance("s-0")} })
+	n.do(n.request("read"))
+	if len(a.got) != 1 || len(b.got) != 1 {
+		t.Errorf("%d sends to the old address, %d to the new one", len(a.got), len(b.got))
+	}
+}
+
+// With every breaker open the refusal comes at once and says when to come back.
+func TestEveryServerDown(t *testing.T) {
+	d := newRegistry(t, instance{InstanceID: "s-0", HostPort: freeAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
+	n := start(t, testConfig(t, d, nil))
+	n.waitReady(http.StatusOK)
+	for try := range 60 {
+		r := n.request("push")
+		if try%6 != 5 {
+			r.Header.Set("X-Timeout-Ms", "300") // no time for a retry: it opens the breaker
+		}
+		a := n.do(r)
+		if a.status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d", a.status)
+		}
+		if s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err != nil || s <= 0 || s > 0.6 {
+			t.Errorf("Retry-After %q", a.header.Get("Retry-After"))
+		}
+		if try%6 == 5 && a.took < time.Second {
+			return
+		}
+	}
+	t.Error("never refused at once")
+}
+
+func TestMalformedRequests(t *testing.T) {
+	b := newBackend(t, ok)
+	n, _ := startReady(t, b)
+	for name, c := range map[string]struct {
+		class  string
+		change func(r *http.Request)
+		status int
+	}{
+		"no id":          {"read", func(r *http.Request) { r.Header.Del("X-Request-ID") }, 400},
+		"two ids":        {"read", func(r *http.Request) { r.Header.Add("X-Request-ID", "b") }, 400},
+		"bad id":         {"read", func(r *http.Request) { r.Header.Set("X-Request-ID", "a b") }, 400},
+		"unknown class":  {"read", func(r *http.Request) { r.URL.Path = "/nosuch" }, 404},
+		"no tenant":      {"read", func(r *http.Request) { r.Header.Del("X-Tenant-Id") }, 400},
+		"unknown tenant": {"read", func(r *http.Request) { r.Header.Set("X-Tenant-Id", "nobody") }, 400},
+		"no time-out":    {"read", func(r *http.Request) { r.Header.Del("X-Timeout-Ms") }, 400},
+		"bad time-out":   {"read", func(r *http.Request) { r.Header.Set("X-Timeout-Ms", "soon") }, 400},
+		"negative time":  {"read", func(r *http.Request) { r.Header.Set("X-Timeout-Ms", "-5") }, 400},
+		"endless time":   {"read", func(r *http.Request) { r.Header.Set("X-Timeout-Ms", strings.Repeat("9", 30)) }, 400},
+		"wrong method":   {"read", func(r *http.Request) { r.Method = http.MethodPost }, 405},
+		"keyed by GET":   {"push", func(r *http.Request) { r.Method = http.MethodGet }, 405},
+		"no key":         {"push", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"unsafe, keyed":  {"pay", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k") }, 400},
+		"large body": {"pay", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1))), maxBody+1
+		}, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := n.request(c.class)
+			c.change(r)
+			a := n.do(r)
+			if a.status != c.status || a.body == "" || len(a.body) > 100 {
+				t.Errorf("status %d, want %d; text %q", a.status, c.status, a.body)
+			}
+		})
+	}
+	if len(b.got) != 0 {
+		t.Errorf("%d of them reached a server", len(b.got))
+	}
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("a good one gets status %d afterwards", a.status)
+	}
+}
+
+func TestDiscoveryFailsAndReturns(t *testing.T) {
+	b := newBackend(t, ok)
+	d := newRegistry(t)
+	d.down = true
+	n := start(t, testConfig(t, d, nil))
+	wait(t, d.calls, "a first call")
+	wait(t, d.calls, "a call after the failed one")
+	n.waitReady(http.StatusServiceUnavailable)
+	d.set(func() { d.down, d.list = false, []instance{b.instance("s-0")} })
+	n.waitReady(http.StatusOK)
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+	d.set(func() { d.down = true }) // the list stays
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("status %d while discovery is down", a.status)
+	}
+}
+
+// The list as known from before serves while discovery is away.
+func TestKnownListServes(t *testing.T) {
+	b := newBackend(t, ok)
+	d := newRegistry(t)
+	d.down = true
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["known"] = registry{Generation: 7, Reset: true, Instances: []instance{b.instance("s-0")}}
+	}))
+	n.waitReady(http.StatusOK)
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+	if q := wait(t, d.calls, "a watch"); !strings.Contains(q, "after=7") {
+		t.Errorf("the watch asks for %q", q)
+	}
+}
+
+// Version 0 is a version: a list that has it must be watched after, not asked
+// for again and again.
+func TestWatchAfterVersionZero(t *testing.T) {
+	b := newBackend(t, ok)
+	_, d := startReady(t, b)
+	wait(t, d.calls, "the first call")
+	if q := wait(t, d.calls, "the watch"); !strings.Contains(q, "after=0") {
+		t.Errorf("the second call asks for %q", q)
+	}
+}
+
+// Where lists are asked for, the module says when.
+func TestAskedList(t *testing.T) {
+	b := newBackend(t, ok)
+	d := newRegistry(t, b.instance("s-0"))
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["settings"] = jsonText(strings.Replace(settingsText, "pushed", "on_request", 1))
+	}))
+	n.waitReady(http.StatusOK)
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+}
+
+type jsonText string
+
+// MarshalJSON gives the text as it is.
+func (j jsonText) MarshalJSON() ([]byte, error) { return []byte(j), nil }
+
+// At the cap an idle client connection makes room; where none is idle the
+// newcomer is told to come back, and past the spare descriptors it is closed.
+func TestDescriptorCap(t *testing.T) {
+	b := newBackend(t, ok)
+	d := newRegistry(t, b.instance("s-0"))
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64} // 15 for clients, 1 spare
+	}))
+	n.waitReady(http.StatusOK)
+	http.DefaultClient.CloseIdleConnections()
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(patience))
+		return nc
+	}
+	ask := func(nc net.Conn) *http.Response {
+		r := n.request("read")
+		if err := r.Write(nc); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(nc), r)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	for range 40 {
+		if resp := ask(dial()); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d although others are idle", resp.StatusCode)
+		}
+	}
+	for range 15 {
+		dial() // and says nothing: not idle, as its request may be on the way
+	}
+	over := dial()
+	beyond := dial()
+	if _, err := beyond.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection past all caps is kept")
+	}
+	if resp := ask(over); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("over the cap: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+}
+
+// What was taken before a stop is answered, and new connections are still taken
+// while the front deals them.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		ok(w, r)
+	})
+	n, _ := startReady(t, b)
+	held := make(chan reply, 1)
+	go func() { held <- n.do(n.request("pay")) }()
+	wait(t, b.got, "the request")
+	n.stop()
+	n.waitReady(http.StatusServiceUnavailable)
+	late := make(chan reply, 1)
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	go func() {
+		r := n.request("pay")
+		r.Write(nc)
+		resp, err := http.ReadResponse(bufio.NewReader(nc), r)
+		if err != nil {
+			t.Error(err)
+			late <- reply{}
+			return
+		}
+		late <- reply{status: resp.StatusCode, header: resp.Header}
+	}()
+	close(release)
+	for _, c := range []chan reply{held, late} {
+		if a := wait(t, c, "an answer"); a.status != http.StatusOK {
+			t.Errorf("status %d", a.status)
+		}
+	}
+	if err := wait(t, n.done, "the end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -90,7 +90,8 @@
 	net.Conn
 	server *server
 	reader *bufio.Reader
-	budget int // bytes that the present answer may still have
+	budget int   // bytes that the present answer may still have
+	ended  error // what reading met when the connection broke or ended
 	since  time.Time
 }
 
@@ -103,6 +104,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
 	c.budget -= n
+	c.ended = err
 	return n, err
 }
 
@@ -320,13 +322,13 @@
 		resp, err = http.ReadResponse(c.reader, req)
 	}
 	if err != nil {
-		return result{status: broken(err)}, false
+		return result{status: c.broken()}, false
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	switch {
 	case err != nil:
-		return result{status: broken(err)}, false
+		return result{status: c.broken()}, false
 	case len(body) > maxBody:
 		return result{status: policy.Error}, false
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
@@ -344,9 +346,8 @@
 }
 
 // broken tells a connection that ended from an answer that makes no sense.
-func broken(err error) policy.Status {
-	var network *net.OpError
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+func (c *conn) broken() policy.Status {
+	if c.ended != nil {
 		return policy.Reset
 	}
 	return policy.Error
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/policy"
+)
+
+// script is a server that reads a request and writes fixed bytes; then it
+// closes, or keeps the connection for another request.
+func script(t *testing.T, answer string, close bool) (addr string, conns chan net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	conns = make(chan net.Conn, 100)
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- nc
+			go func() {
+				defer nc.Close()
+				in := bufio.NewReader(nc)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					io.WriteString(nc, answer)
+					if close {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func upstreamsTo(addr string) (*upstreams, policy.ServerID) {
+	u := newUpstreams(&Config{ConnIdle: 15 * time.Second, ConnectTimeout: 5 * time.Second}, 10)
+	in := instance{InstanceID: "s", HostPort: addr, Lifecycle: "Ready"}
+	u.update(true, []instance{in})
+	return u, in.id()
+}
+
+func anyRequest() *outgoing {
+	return &outgoing{method: "POST", url: &url.URL{Path: "/pay"}, host: "x", header: http.Header{}, body: []byte("b")}
+}
+
+func TestOutcomes(t *testing.T) {
+	const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	for name, c := range map[string]struct {
+		answer string
+		close  bool
+		status policy.Status
+		conns  int // that two attempts take
+	}{
+		"served":                {good, false, policy.OK, 1},
+		"served, chunked":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", false, policy.OK, 1},
+		"served, then closed":   {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", true, policy.OK, 2},
+		"early hints":           {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + good, false, policy.OK, 1},
+		"more than the answer":  {good + "rest", false, policy.OK, 2},
+		"error":                 {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false, policy.Error, 1},
+		"another status":        {"HTTP/1.1 404 Where\r\nContent-Length: 0\r\n\r\n", false, policy.Error, 1},
+		"turned away, 503":      {"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Full, 1},
+		"turned away, 504":      {"HTTP/1.1 504 Over\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, policy.Full, 1},
+		"503 that promises not": {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", false, policy.Error, 1},
+		"reset":                 {"", true, policy.Reset, 2},
+		"half a head":           {"HTTP/1.1 200 OK\r\nContent-Le", true, policy.Reset, 2},
+		"half a body":           {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi", true, policy.Reset, 2},
+		"body with no length":   {"HTTP/1.1 200 OK\r\n\r\nhi", true, policy.Reset, 2},
+		"noise":                 {"\x00\x01\x02 what\r\n\r\n", false, policy.Error, 2},
+		"large body":            {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBody+1, strings.Repeat("x", maxBody+1)), false, policy.Error, 2},
+		"large head":            {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxAnswer+1), false, policy.Error, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := script(t, c.answer, c.close)
+			u, id := upstreamsTo(addr)
+			for range 2 {
+				res := u.send(newCall(context.Background()), id, anyRequest(), time.Minute)
+				if res.status != c.status {
+					t.Errorf("status %d, want %d", res.status, c.status)
+				}
+				if c.status == policy.OK && string(res.body) != "hi" {
+					t.Errorf("body %q", res.body)
+				}
+			}
+			if len(conns) != c.conns {
+				t.Errorf("%d connections, want %d", len(conns), c.conns)
+			}
+		})
+	}
+}
+
+func TestConnectFailed(t *testing.T) {
+	u, id := upstreamsTo(freeAddr(t))
+	if res := u.send(newCall(context.Background()), id, anyRequest(), time.Minute); res.status != policy.ConnectFailed {
+		t.Errorf("status %d", res.status)
+	}
+	if u.open != 0 {
+		t.Errorf("%d connections counted", u.open)
+	}
+}
+
+// A request that has its final answer while an attempt still waits for its
+// connection must not be sent any more.
+func TestNoSendAfterFinalAnswer(t *testing.T) {
+	b := newBackend(t, ok)
+	u, id := upstreamsTo(b.Listener.Addr().String())
+	c := newCall(context.Background())
+	c.revoke()
+	if res := u.send(c, id, anyRequest(), time.Minute); res.status != policy.Moot {
+		t.Errorf("status %d", res.status)
+	}
+	u.send(newCall(context.Background()), id, anyRequest(), time.Minute)
+	if len(b.got) != 1 {
+		t.Errorf("%d sends, want the second one only", len(b.got))
+	}
+}
+
+func TestIdleConnectionsRetire(t *testing.T) {
+	addr, conns := script(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false)
+	u, id := upstreamsTo(addr)
+	u.idleFor = 20 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go u.retire(ctx)
+	u.send(newCall(ctx), id, anyRequest(), time.Minute)
+	wait(t, conns, "a connection")
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		u.mu.Lock()
+		open := u.open
+		u.mu.Unlock()
+		if open == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the idle connection stays open")
+		}
+	}
+}
+
+// At the cap nothing is sent and nobody is blamed; an idle connection makes room.
+func TestUpstreamCap(t *testing.T) {
+	b := newBackend(t, ok)
+	u, id := upstreamsTo(b.Listener.Addr().String())
+	u.maxOpen = 1
+	u.open = 1 // one is in use
+	if res := u.send(newCall(context.Background()), id, anyRequest(), time.Minute); res.status != policy.Moot {
+		t.Errorf("status %d at the cap", res.status)
+	}
+	u.open = 0
+	other := newBackend(t, ok)
+	in := instance{InstanceID: "o", HostPort: other.Listener.Addr().String(), Lifecycle: "Ready"}
+	u.update(false, []instance{in})
+	for _, to := range []policy.ServerID{id, in.id(), id} {
+		if res := u.send(newCall(context.Background()), to, anyRequest(), time.Minute); res.status != policy.OK {
+			t.Errorf("status %d although an idle connection could make room", res.status)
+		}
+	}
+}
