--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	maxBody      = 64 << 10         // bytes of a message's body
-	maxAnswer    = maxBody + 64<<10 // of a server's answer with head and framing
-	maxInterim   = 8                // 1xx answers ahead of the real one
-	idlePart     = 0.6              // of the servers' idle time, after which a connection is retired
-	idlePerServe = 32               // idle connections kept to a server
+	maxBody       = 64 << 10         // bytes of a message's body
+	maxAnswer     = maxBody + 64<<10 // of a server's answer with head and framing
+	maxInterim    = 8                // 1xx answers ahead of the real one
+	idlePart      = 0.6              // of the servers' idle time, after which a connection is retired
+	idlePerServer = 32               // idle connections kept to a server
 )
 
 // outgoing is what of a client's request goes on to a server.
@@ -250,7 +250,7 @@
 func (u *upstreams) put(c *conn, keep bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !keep || c.server.gone || len(c.server.idle) >= idlePerServe {
+	if !keep || c.server.gone || len(c.server.idle) >= idlePerServer {
 		u.shut(c)
 		return
 	}
