Give up on a client that reads nothing

Seen: a client that asked and asked and read nothing kept its connection and its handler for good; with enough of them the cap on client connections is reached. Checked over a loopback socket: after 20 s the node still held it. Ruled out: the header and body time-outs, which bind reading only. At fault: frontend.go had no limit on the write of an answer. It now ends 500 ms after the client's own time.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -25,6 +25,9 @@
 	headerTimeout = 10 * time.Second
 	bodyTimeout   = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// writeTimeout is how long after its time a client may still take its answer.
+	// One that reads nothing would else hold its connection for good.
+	writeTimeout = 500 * time.Millisecond
 )
 
 // frontend takes clients' requests and gives them their answers.
@@ -71,7 +74,9 @@
 		f.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: f.cfg.Policy.Limits.MaxRetryAfter})
 		return
 	}
+	end := time.Now().Add(q.end - f.loop.clock() + writeTimeout)
 	if a, ok := f.loop.do(r.Context(), q); ok {
+		http.NewResponseController(w).SetWriteDeadline(end)
 		f.write(w, a)
 		return
 	}
