Take a start time that discovery writes as a fraction

Seen: a list with 1.5e12 as a start failed as a whole, and with it every later one: the node would never be ready. Checked with a stub that serves bad lists; ruled out: unknown keys, states and zones, which pass. At fault: the field's type in discovery.go was a whole number. Conclusion: TestBadListsAreSurvived fails without it. The tests of start times on the loop's clock and of clients that read nothing come along.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -39,7 +39,7 @@
 	Cell        int     `json:"cell"`
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
-	StartedAtMs int64   `json:"startedAtMs"`
+	StartedAtMs float64 `json:"startedAtMs"`
 }
 
 // id is the same at every node, which the module's ring of servers relies on.
@@ -209,9 +209,9 @@
 
 // started maps wall time onto the loop's clock, always by the same difference:
 // a start that moved would look like a restart.
-func (d *discovery) started(unixMs int64) time.Duration {
+func (d *discovery) started(unixMs float64) time.Duration {
 	if unixMs <= 0 {
 		return 0
 	}
-	return max(0, time.UnixMilli(unixMs).Sub(d.unixZero))
+	return max(0, time.UnixMilli(int64(unixMs)).Sub(d.unixZero))
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -409,3 +410,74 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// A client that asks and asks but reads nothing must not hold its connection
+// past its time: the node closes it.
+func TestClientReadsNothing(t *testing.T) {
+	text := strings.Repeat("x", maxBody)
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) })
+	n, _ := startReady(t, b)
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(patience))
+	for err == nil {
+		r := n.request("read")
+		r.Header.Set("X-Timeout-Ms", "1000")
+		err = r.Write(nc)
+	}
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Error("the node keeps the connection")
+	}
+}
+
+// What discovery says may make no sense; the node asks again and takes what it can use.
+func TestBadListsAreSurvived(t *testing.T) {
+	b := newBackend(t, ok)
+	good := b.instance("s-0")
+	lists := make(chan string, 10)
+	lists <- "what?"
+	lists <- `{"generation":"x"}`
+	lists <- `{"generation":3,"instances":[{"instanceId":5}]}`
+	lists <- `{"generation":4,"reset":true,"instances":[{},{"instanceId":"s-1","lifecycle":"Ready"},` +
+		`{"instanceId":"s-2","hostPort":"nowhere","lifecycle":"Novel"},` +
+		`{"instanceId":"s-0","hostPort":"` + good.HostPort + `","zone":"far","cell":-1,"lifecycle":"Ready",` +
+		`"weight":-3,"startedAtMs":1.5e12,"novel":[]}]}`
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case text := <-lists:
+			io.WriteString(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(d.Close)
+	n := start(t, testConfig(t, &registryStub{Server: d}, nil))
+	n.waitReady(http.StatusOK)
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+}
+
+// A server that started before this node did may still be cold: its start must
+// lie after the zero of the clock, which means long ago, and must not move from
+// list to list, which would mean a restart.
+func TestStartsOnTheClock(t *testing.T) {
+	l, err := newLoop(t.Context(), testConfig(t, newRegistry(t), nil), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDiscovery(&Config{}, l)
+	at := float64(time.Now().Add(-3 * time.Second).UnixMilli())
+	first := d.started(at)
+	if age := l.clock() - first; age < 2900*time.Millisecond || age > 3*time.Second+patience {
+		t.Errorf("a start 3 s ago is %v ago on the clock", age)
+	}
+	if again := d.started(at); again != first {
+		t.Errorf("the start moved from %v to %v", first, again)
+	}
+	if d.started(0) != 0 {
+		t.Error("a start long ago is not 0")
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -80,7 +80,7 @@
 // server is where a server listens, under one start of it.
 type server struct {
 	addr    string
-	started int64
+	started float64 // as discovery tells it
 	idle    []*conn // the one used last at the end
 	gone    bool    // or restarted, or moved: connections are not kept
 }
