Put no User-Agent of the node's own on a request

Seen: a request with no User-Agent reached the server with the library's. At fault: http.Request.Write adds one where the header is absent (upstream.go); an empty entry bars it. Ruled out: the other headers, which TestServesUnchanged compares. It fails without this.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,6 +23,7 @@
 	r := n.request("push")
 	r.Header.Set("Connection", "X-Hop")
 	r.Header.Set("X-Hop", "1")
+	r.Header.Set("User-Agent", "") // none: the node must not put its own
 	a := n.do(r)
 	if a.status != http.StatusOK || a.body != "rooms" || a.header.Get("X-Kept") != "yes" || a.header.Get("Keep-Alive") != "" {
 		t.Errorf("answer %+v", a)
@@ -40,6 +41,9 @@
 	if got.Header.Get("X-Hop") != "" {
 		t.Error("a hop-by-hop header went on")
 	}
+	if got.Header.Get("User-Agent") != r.Header.Get("User-Agent") {
+		t.Errorf("User-Agent %q", got.Header.Get("User-Agent"))
+	}
 	if left, err := strconv.Atoi(got.Header.Get("X-Timeout-Ms")); err != nil || left <= 0 || left >= 8000 {
 		t.Errorf("X-Timeout-Ms %q", got.Header.Get("X-Timeout-Ms"))
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -305,6 +305,9 @@
 	if len(o.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(o.body))
 	}
+	if req.Header["User-Agent"] == nil {
+		req.Header.Set("User-Agent", "") // else Request.Write puts one of its own
+	}
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	var message bytes.Buffer
 	if err := req.Write(&message); err != nil {
