--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -124,6 +124,34 @@
 	}
 }
 
+// When a server falls silent a second copy goes elsewhere; once that is served
+// the first attempt is cancelled, which closes its connection.
+func TestSecondCopyPastASilentServer(t *testing.T) {
+	left := make(chan struct{}, 1)
+	var quiet atomic.Bool // the next request met stays without an answer
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if quiet.CompareAndSwap(true, false) {
+			silent(left)(w, r)
+			return
+		}
+		ok(w, r)
+	}
+	a, b := newBackend(t, handle), newBackend(t, handle)
+	n, _ := startReady(t, a, b)
+	for range 50 { // the module learns what is usual
+		n.do(n.request("push"))
+	}
+	quiet.Store(true)
+	before := len(a.got) + len(b.got)
+	if r := n.do(n.request("push")); r.status != http.StatusOK {
+		t.Fatalf("status %d", r.status)
+	}
+	wait(t, left, "the silent attempt to be given up")
+	if sends := len(a.got) + len(b.got) - before; sends != 2 {
+		t.Errorf("%d sends, want 2", sends)
+	}
+}
+
 func TestClientGone(t *testing.T) {
 	left := make(chan struct{}, 1)
 	b := newBackend(t, silent(left))
