Survive SIGHUP and clients that send what can't be read

A head could take 10 s, an idle connection stay 2 min, an unread body of a refused request hold its connection; silent connections held the cap, since only idle ones made room. http.Server.Shutdown drops a request being read.

Now: SIGHUP moves discovery and asks for the whole list; one check refuses what can be framed two ways, and HTTP/1.0; the id of an open request gets 409; 2 s to a request's last byte; silent connections make room first, then those idle for 2 s; a stop closes connections as they fall idle.

--- a/cmd/yokestall/main.go
+++ b/cmd/yokestall/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -24,6 +25,9 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -33,9 +37,28 @@
 	if err != nil {
 		return err
 	}
+	go follow(ctx, reload, n)
 	return n.Run(ctx)
 }
 
+// follow takes up the file of the configuration again at each signal. Only
+// discovery may change while the node runs; one that can't be read changes nothing.
+func follow(ctx context.Context, reload <-chan os.Signal, n *node.Node) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		discovery, err := node.ReloadDiscovery(os.Getenv)
+		if err != nil {
+			slog.Error("reload: the old configuration stays", "err", err)
+			continue
+		}
+		n.MoveDiscovery(discovery)
+	}
+}
+
 // limit keeps the runtime inside the machine. The live heap is small, so it may
 // grow severalfold between collections, up to a part of the memory.
 func limit(l node.Limits) {
--- a/cmd/yokestall/main_test.go
+++ b/cmd/yokestall/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -134,3 +135,102 @@
 		t.Fatal("does not end")
 	}
 }
+
+// SIGHUP takes up discovery's address from the file, more than once and past a
+// file that can't be read, and the program goes on. The file goes before the
+// environment, which can't have changed.
+func TestSIGHUP(t *testing.T) {
+	calls := make(chan string, 1000)
+	registry := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Has("after") {
+				<-r.Context().Done() // nothing new
+				return
+			}
+			calls <- name
+			io.WriteString(w, `{"generation": 1, "reset": true, "instances": []}`)
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s.Listener.Addr().String()
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	config := func(discovery string) string {
+		return `{"listen": "127.0.0.1:0", "discovery": "` + discovery + `", "settings": ` + settings + `}`
+	}
+	expect := func(name string) {
+		t.Helper()
+		select {
+		case got := <-calls:
+			if got != name {
+				t.Fatalf("%s is asked, want %s", got, name)
+			}
+		case <-time.After(patience):
+			t.Fatalf("%s is never asked", name)
+		}
+	}
+	first := registry("first")
+	write(config(first))
+	t.Setenv("BALANCER_CONFIG", path)
+	t.Setenv("BALANCER_DISCOVERY", first)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	expect("first")
+	hup := func() {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"second", "third"} {
+		write(config(registry(name)))
+		hup()
+		expect(name)
+	}
+	logged := make(chan string, 100)
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(lines(logged), nil)))
+	defer slog.SetDefault(before)
+	for _, text := range []string{`{"listen"`, config("nowhere"), ``} {
+		write(text)
+		hup()
+		select {
+		case line := <-logged:
+			if !strings.Contains(line, "the old configuration stays") {
+				t.Errorf("logged %q", line)
+			}
+		case <-time.After(patience):
+			t.Fatal("a bad file is not told of")
+		}
+	}
+	write(config(registry("fourth")))
+	hup()
+	expect("fourth")
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("does not end")
+	}
+}
+
+// lines is a writer that hands on what is written.
+type lines chan<- string
+
+func (l lines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/node/clients_test.go
@@ -0,0 +1,312 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func (n *running) dial() net.Conn {
+	n.t.Helper()
+	nc, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	return nc
+}
+
+// ask makes a request on a connection of its own and reads the answer.
+func (n *running) ask(nc net.Conn) *http.Response {
+	n.t.Helper()
+	r := n.request("read")
+	if err := r.Write(nc); err != nil {
+		n.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(nc), r)
+	if err != nil {
+		n.t.Fatalf("no answer: %v", err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp
+}
+
+// startSmall starts a node with places for 20 client connections and 2 to spare.
+func startSmall(t *testing.T, b *backend) *running {
+	d := newRegistry(t, b.instance("s-0"))
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
+	}))
+	n.waitReady(http.StatusOK)
+	http.DefaultClient.CloseIdleConnections()
+	return n
+}
+
+// Hundreds that connect and say nothing, or half of it, must not turn usual
+// clients away, and are closed themselves before long.
+func TestSilentFloodMakesRoom(t *testing.T) {
+	n := startSmall(t, newBackend(t, ok))
+	var flood []net.Conn
+	for i := range 150 {
+		nc := n.dial()
+		if i%3 == 0 {
+			io.WriteString(nc, "GET /read HTTP/1.1\r\nHost: x\r\nX-Req")
+		}
+		flood = append(flood, nc)
+		if i%15 == 0 {
+			if resp := n.ask(n.dial()); resp.StatusCode != http.StatusOK {
+				t.Fatalf("a usual client got status %d", resp.StatusCode)
+			}
+		}
+	}
+	for _, nc := range flood {
+		if _, err := io.Copy(io.Discard, nc); isTimeout(err) {
+			t.Fatal("a silent connection stays open")
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
+// Clients that ask once and keep their connection for good make room for others
+// once they were idle for as long as they are owed.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	n := startSmall(t, newBackend(t, ok))
+	var kept []net.Conn
+	began := time.Now()
+	for range 50 {
+		nc := n.dial()
+		kept = append(kept, nc)
+		if resp := n.ask(nc); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d although others are idle", resp.StatusCode)
+		}
+	}
+	if took := time.Since(began); took < idleGrace {
+		t.Errorf("%d connections in %v: some were not left their time", len(kept), took)
+	}
+}
+
+// Where every connection is at work a newcomer is told when to come back, and
+// past the spare descriptors it is closed.
+func TestAllConnectionsAtWork(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		ok(w, r)
+	})
+	n := startSmall(t, b)
+	var busy []net.Conn
+	for range 20 { // the module may hold some of them back: at work all the same
+		nc := n.dial()
+		if err := n.request("read").Write(nc); err != nil {
+			t.Fatal(err)
+		}
+		busy = append(busy, nc)
+	}
+	for end := time.Now().Add(patience); ; {
+		resp := n.ask(n.dial())
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			if !resp.Close || resp.Header.Get("Retry-After") == "" {
+				t.Errorf("close %v, headers %v", resp.Close, resp.Header)
+			}
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("never refused over the cap")
+		}
+	}
+	close(release)
+	for _, nc := range busy {
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("one at work ended with %v, %v", resp, err)
+		}
+	}
+}
+
+// A request that comes right behind another is answered too, and its connection
+// is not taken for an idle one meanwhile.
+func TestPipelinedRequests(t *testing.T) {
+	n, _ := startReady(t, newBackend(t, ok))
+	nc := n.dial()
+	var both strings.Builder
+	for range 3 {
+		n.request("read").Write(&both)
+	}
+	io.WriteString(nc, both.String())
+	in := bufio.NewReader(nc)
+	for range 3 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%v, %v", resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
+
+// What a connection that was shut had still to be read counts as not read: to
+// answer it is nobody's any more. Its place is given back once.
+func TestShutWhileRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newClientConns(1, 0)
+	capped := cappedListener{l, conns}
+	defer capped.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := capped.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns.mu.Lock()
+	nc.(*clientConn).shut = true // as by one that reads at the same time
+	conns.mu.Unlock()
+	io.WriteString(client, "GET")
+	if n, err := nc.Read(make([]byte, 10)); n != 0 || err == nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	nc.Close()
+	if conns.open != 1 {
+		t.Errorf("%d places are taken, want the one that shut gives back", conns.open)
+	}
+	nc.(*clientConn).Conn.Close()
+}
+
+// raw sends a text and gives the statuses of what comes back until the node
+// closes the connection; a node that doesn't close it fails the test.
+func (n *running) raw(text string) (statuses []int) {
+	n.t.Helper()
+	nc := n.dial()
+	go io.WriteString(nc, text)
+	in := bufio.NewReader(nc)
+	for {
+		resp, err := http.ReadResponse(in, nil)
+		if isTimeout(err) {
+			n.t.Fatal("the node keeps the connection")
+		}
+		if err != nil {
+			return statuses
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); isTimeout(err) {
+			n.t.Fatal("the answer doesn't end")
+		}
+		statuses = append(statuses, resp.StatusCode)
+	}
+}
+
+// What can be read in two ways hides requests from whoever stands before or
+// behind; what can't be read must not hold its connection. Neither may reach a
+// server, nor keep the node from serving others.
+func TestBadBytes(t *testing.T) {
+	b := newBackend(t, ok)
+	n, _ := startReady(t, b)
+	head := func(class, more string) string {
+		return "POST /" + class + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: a1\r\nX-Tenant-Id: acme\r\n" +
+			"X-Timeout-Ms: 5000\r\n" + more + "\r\n"
+	}
+	hidden := "GET /read HTTP/1.1\r\nHost: x\r\nX-Request-ID: hidden\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\n\r\n"
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
+	for name, c := range map[string]struct {
+		text   string
+		status int // 0: just closed
+	}{
+		"both framing headers": {head("pay", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + chunks + hidden, 411},
+		"hidden by length 0":   {head("pay", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n") + chunks + hidden, 411},
+		"both, before others":  {head("pay", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n" + hidden, 411},
+		"chunked":              {head("pay", "Transfer-Encoding: chunked\r\n") + chunks, 411},
+		"coding in HTTP/1.0":   {strings.Replace(head("pay", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\nConnection: keep-alive\r\n"), "1.1", "1.0", 1) + hidden, 505},
+		"unknown coding":       {head("pay", "Transfer-Encoding: gzip, chunked\r\n") + chunks, 501},
+		"two codings":          {head("pay", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n") + hidden, 501},
+		"health, both":         {"GET /health/ready HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" + chunks, 411},
+		"two lengths":          {head("pay", "Content-Length: 1\r\nContent-Length: 2\r\n") + "ab", 400},
+		"length no number":     {head("pay", "Content-Length: two\r\n") + "ab", 400},
+		"negative length":      {head("pay", "Content-Length: -2\r\n") + "ab", 400},
+		"endless length":       {head("pay", "Content-Length: 99999999999999999999\r\n") + "ab", 400},
+		"huge length":          {head("pay", "Content-Length: 3000000000\r\n") + "ab", 413},
+		"length over the body": {head("pay", "Content-Length: 20\r\n") + "ab", 400},
+		"body not wanted":      {strings.Replace(head("read", "Content-Length: 20\r\n"), "POST", "GET", 1) + "ab", 400},
+		"noise":                {"\x00\x01\x02\xff\r\n\r\n", 400},
+		"head without end":     {"GET /read HTTP/1.1\r\nHost: x\r\nX-Filler: 1\r\n", 0},
+		"endless line":         {"GET /read HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20), 431},
+		"large body":           {head("pay", "Content-Length: 8000000\r\n") + strings.Repeat("x", 8000000), 413},
+		"nothing":              {"", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := &running{t: t, addr: n.addr}
+			began := time.Now()
+			got := n.raw(c.text)
+			switch {
+			case c.status == 0 && len(got) == 0:
+			case len(got) == 1 && got[0] == c.status:
+			default:
+				t.Errorf("answers %v, want %d", got, c.status)
+			}
+			t.Logf("took %v", time.Since(began))
+		})
+	}
+	t.Cleanup(func() {
+		if len(b.got) != 0 {
+			t.Errorf("%d of them reached a server", len(b.got))
+		}
+		if a := n.do(n.request("read")); a.status != http.StatusOK {
+			t.Errorf("a good one gets status %d afterwards", a.status)
+		}
+	})
+}
+
+// The id of a request that is open names that one alone: a second one with it
+// is turned away and the first goes on.
+func TestOpenID(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		ok(w, r)
+	})
+	n, _ := startReady(t, b)
+	first := n.request("push")
+	answered := make(chan reply, 1)
+	go func() { answered <- n.do(first) }()
+	wait(t, b.got, "the first one")
+	second := n.request("read")
+	second.Header.Set("X-Request-ID", first.Header.Get("X-Request-ID"))
+	if a := n.do(second); a.status != http.StatusConflict {
+		t.Errorf("status %d", a.status)
+	}
+	close(release)
+	if a := wait(t, answered, "the first answer"); a.status != http.StatusOK {
+		t.Errorf("the first one got status %d", a.status)
+	}
+	if len(b.got) != 0 {
+		t.Error("the second one reached a server")
+	}
+	if a := n.do(second); a.status != http.StatusOK {
+		t.Errorf("status %d once the id is free", a.status)
+	}
+}
+
+// The deadline for a request's bytes must not end its waiting for the answer.
+func TestReadDeadlineEndsWithTheRequest(t *testing.T) {
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(readTimeout + 200*time.Millisecond) // the thing under test is a time-out
+		ok(w, r)
+	})
+	n, _ := startReady(t, b)
+	if a := n.do(n.request("pay")); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"time"
@@ -49,13 +50,9 @@
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	c, err := parseConfig(text)
+	c, err := readConfig(path)
 	if err != nil {
-		return nil, fmt.Errorf("configuration %s: %w", path, err)
+		return nil, err
 	}
 	for name, to := range map[string]*string{
 		"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen, "BALANCER_DISCOVERY": &c.Discovery,
@@ -70,6 +67,33 @@
 	return c, nil
 }
 
+// ReloadDiscovery gives the address of discovery in the file named by
+// BALANCER_CONFIG. The file goes first here: it may have been replaced since the
+// start, and the environment can't have changed.
+func ReloadDiscovery(getenv func(string) string) (string, error) {
+	path := getenv("BALANCER_CONFIG")
+	c, err := readConfig(path)
+	if err != nil {
+		return "", err
+	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return "", fmt.Errorf("configuration %s: discovery: %w", path, err)
+	}
+	return c.Discovery, nil
+}
+
+func readConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
 func parseConfig(text []byte) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,7 +17,7 @@
 
 const (
 	watchWait    = 5 * time.Second       // what a watch asks discovery to wait
-	watchSlack   = time.Second           // and how much longer the answer may take
+	watchSlack   = 2 * time.Second       // and how much longer the answer may take
 	watchPause   = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = time.Second
@@ -67,15 +67,16 @@
 	zones      map[string]int
 	asked      bool // watches load discovery: the module says when to start one
 	wanted     chan struct{}
-	listed     bool // a list is at hand; its generation may well be 0
+	moved      <-chan string // the latest address to follow the list at
+	listed     bool          // a list is at hand; its generation may well be 0
 	generation uint64
 	client     *http.Client
 	unixZero   time.Time // wall time at the zero of the loop's clock
 }
 
-func newDiscovery(cfg *Config, l *loop) *discovery {
+func newDiscovery(cfg *Config, l *loop, moved <-chan string) *discovery {
 	d := &discovery{
-		url: "http://" + cfg.Discovery + "/registry/instances", loop: l, zones: cfg.Zones,
+		url: listURL(cfg.Discovery), loop: l, zones: cfg.Zones, moved: moved,
 		asked: cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
 		unixZero: l.zero.Round(0),
@@ -89,7 +90,11 @@
 	return d
 }
 
-// run starts from the list as it was known and follows it until the context ends.
+func listURL(addr string) string { return "http://" + addr + "/registry/instances" }
+
+// run starts from the list as it was known and follows it until the context
+// ends. When discovery moves, the watch at the old address ends and the new one
+// is asked for the whole list; the node serves by the old list meanwhile.
 func (d *discovery) run(ctx context.Context, known registry, ready func()) {
 	d.generation = known.Generation
 	d.listed = len(known.Instances) > 0
@@ -99,8 +104,31 @@
 	} else if d.asked {
 		d.tell(policy.ListCached, nil) // has the module ask for the list
 	}
-	delay := backoffFirst
 	watching := !d.asked
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			d.follow(here, watching, ready)
+		}()
+		select {
+		case addr := <-d.moved:
+			leave()
+			<-left
+			slog.Info("discovery moves", "addr", addr)
+			d.client.CloseIdleConnections()
+			d.url, d.listed, watching = listURL(addr), false, true
+		case <-ctx.Done():
+			leave()
+			<-left
+		}
+	}
+}
+
+// follow watches the list at one address until the context ends.
+func (d *discovery) follow(ctx context.Context, watching bool, ready func()) {
+	delay := backoffFirst
 	for ctx.Err() == nil {
 		if !watching {
 			select {
@@ -153,13 +181,14 @@
 // list at hand it asks for all.
 func (d *discovery) get(ctx context.Context) (registry, error) {
 	var list registry
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	url := d.url
+	url, wait := d.url, watchSlack
 	if d.listed {
+		wait += watchWait
 		url += "?after=" + strconv.FormatUint(d.generation, 10) +
 			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list, err
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -20,11 +19,12 @@
 const (
 	// answerMargin is kept between a final answer and the end of the client's
 	// time, for the way of the request here and of the answer's last byte back.
-	answerMargin  = 10 * time.Millisecond
-	maxHeader     = 16 << 10
-	headerTimeout = 10 * time.Second
-	bodyTimeout   = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	answerMargin = 10 * time.Millisecond
+	maxHeader    = 16 << 10
+	// readTimeout is how long a client may take from its connection, or a
+	// request's first byte, to the request's last byte. No deadline leaves more.
+	readTimeout = 2 * time.Second
+	idleTimeout = 10 * time.Second
 	// writeTimeout is how long after its time a client may still take its answer.
 	// One that reads nothing would else hold its connection for good.
 	writeTimeout = 500 * time.Millisecond
@@ -34,14 +34,17 @@
 type frontend struct {
 	cfg      *Config
 	loop     *loop
-	conns    clientConns
+	conns    *clientConns
 	ready    atomic.Bool // a list of servers is known
 	draining atomic.Bool
+
+	mu   sync.Mutex
+	open map[string]struct{} // ids of the requests that have no final answer yet
 }
 
 func (f *frontend) server() *http.Server {
 	return &http.Server{
-		Handler: f, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: f, MaxHeaderBytes: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		ConnState: f.conns.state,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -56,31 +59,88 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close") // have clients move to other nodes
 	}
+	if err := framing(r); err != nil {
+		refuse(w, r, err)
+		return
+	}
 	if r.URL.Path == "/health/ready" {
 		f.readiness(w)
 		return
 	}
 	q, err := f.parse(w, r)
 	if err != nil {
-		var bad *badRequest
-		if !errors.As(err, &bad) {
-			bad = &badRequest{http.StatusBadRequest, "the body can't be read"}
-		}
-		http.Error(w, bad.text, bad.status)
+		refuse(w, r, err)
 		return
 	}
-	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok && c.over {
-		w.Header().Set("Connection", "close")
-		f.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: f.cfg.Policy.Limits.MaxRetryAfter})
-		return
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		c.whole()
+		if c.over {
+			w.Header().Set("Connection", "close")
+			f.write(w, answer{status: http.StatusServiceUnavailable, retryAfter: f.cfg.Policy.Limits.MaxRetryAfter})
+			return
+		}
 	}
-	end := time.Now().Add(q.end - f.loop.clock() + writeTimeout)
-	if a, ok := f.loop.do(r.Context(), q); ok {
-		http.NewResponseController(w).SetWriteDeadline(end)
-		f.write(w, a)
+	if !f.claim(q.header.Get("X-Request-Id")) {
+		refuse(w, r, &badRequest{http.StatusConflict, "a request with this X-Request-ID is open"})
 		return
 	}
-	panic(http.ErrAbortHandler) // nobody is there to be answered
+	control := http.NewResponseController(w)
+	// net/http goes on reading, to see the client leave. The deadline of the
+	// request's own bytes would look like that.
+	control.SetReadDeadline(time.Time{})
+	a, ok := f.loop.do(r.Context(), q)
+	f.disclaim(q.header.Get("X-Request-Id"))
+	if !ok {
+		panic(http.ErrAbortHandler) // nobody is there to be answered
+	}
+	control.SetWriteDeadline(time.Now().Add(q.end - f.loop.clock() + writeTimeout))
+	f.write(w, a)
+}
+
+// claim takes an id for a request; false if one that is open has it.
+func (f *frontend) claim(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, taken := f.open[id]; taken {
+		return false
+	}
+	f.open[id] = struct{}{}
+	return true
+}
+
+func (f *frontend) disclaim(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, id)
+}
+
+// framing refuses messages whose end this node and whoever sent them might see
+// in different places: what is a body to one is a request to the other.
+// net/http keeps Transfer-Encoding and drops a Content-Length beside it, and the
+// reverse in HTTP/1.0, so only the absence of both coding and old version is clear.
+func framing(r *http.Request) error {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return &badRequest{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is required"}
+	case len(r.TransferEncoding) > 0:
+		return &badRequest{http.StatusLengthRequired, "a Content-Length is required, with no transfer coding"}
+	case r.ContentLength > maxBody:
+		return &badRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
+	}
+	return nil
+}
+
+// refuse answers a request that no server gets to see. What may be left of its
+// body is not waited for: the connection ends.
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	var bad *badRequest
+	if !errors.As(err, &bad) {
+		bad = &badRequest{http.StatusBadRequest, "the body can't be read"}
+	}
+	if r.ContentLength != 0 || !r.ProtoAtLeast(1, 1) {
+		w.Header().Set("Connection", "close")
+	}
+	http.Error(w, bad.text, bad.status)
 }
 
 func (f *frontend) readiness(w http.ResponseWriter) {
@@ -152,7 +212,7 @@
 	case c.Effect == policy.Safe && r.ContentLength != 0:
 		return nil, bad("the class takes no body")
 	}
-	body, err := readBody(w, r)
+	body, err := readBody(r)
 	if err != nil {
 		return nil, err
 	}
@@ -169,23 +229,14 @@
 	}, nil
 }
 
-// readBody reads a body of bounded size in bounded time.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads a body of a known, bounded length in what is left of the read timeout.
+func readBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &badRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
-	}
-	if err != nil {
-		return nil, err
-	}
-	control.SetReadDeadline(time.Time{})
-	return body, nil
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
 }
 
 // one gives the value of a header that must come once, "" otherwise.
@@ -232,93 +283,3 @@
 	h.Del("Content-Length")
 	return h
 }
-
-// clientConns keeps the number of client connections under a cap. Over it, the
-// longest idle one makes room; where none is idle the new one is answered with
-// a refusal, as long as spare descriptors last.
-type clientConns struct {
-	max, spare int
-
-	mu    sync.Mutex
-	open  int
-	idle  list.List // of net.Conn, the longest idle first
-	place map[net.Conn]*list.Element
-}
-
-// clientConn is a connection that counts.
-type clientConn struct {
-	net.Conn
-	conns *clientConns
-	over  bool // accepted over the cap
-	once  sync.Once
-}
-
-// Close implements net.Conn.
-func (c *clientConn) Close() error {
-	c.once.Do(func() {
-		c.conns.mu.Lock()
-		defer c.conns.mu.Unlock()
-		c.conns.open--
-		c.conns.unlist(c)
-	})
-	return c.Conn.Close()
-}
-
-// cappedListener counts what it accepts.
-type cappedListener struct {
-	net.Listener
-	conns *clientConns
-}
-
-// Accept implements net.Listener.
-func (l cappedListener) Accept() (net.Conn, error) {
-	for {
-		nc, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.conns.admit(nc); c != nil {
-			return c, nil
-		}
-		nc.Close()
-	}
-}
-
-func (cs *clientConns) admit(nc net.Conn) *clientConn {
-	c := &clientConn{Conn: nc, conns: cs}
-	cs.mu.Lock()
-	var victim net.Conn
-	if cs.open >= cs.max {
-		if e := cs.idle.Front(); e != nil {
-			victim = e.Value.(net.Conn)
-			cs.unlist(victim)
-		} else if c.over = true; cs.open >= cs.max+cs.spare {
-			cs.mu.Unlock()
-			return nil
-		}
-	}
-	cs.open++
-	cs.mu.Unlock()
-	if victim != nil {
-		victim.Close()
-	}
-	return c
-}
-
-// unlist takes a connection from the idle ones; cs.mu is held.
-func (cs *clientConns) unlist(c net.Conn) {
-	if e := cs.place[c]; e != nil {
-		cs.idle.Remove(e)
-		delete(cs.place, c)
-	}
-}
-
-// state follows which connections are idle.
-func (cs *clientConns) state(c net.Conn, s http.ConnState) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.unlist(c)
-	if s == http.StateIdle {
-		cs.place[c] = cs.idle.PushBack(c)
-	}
-}
