Serve clients until shortly before a stop has to end

Now readiness ends at once, requests are served while clients ask, and in the last 0.3 s connections close as they fall idle; what is open at the very end is answered.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -36,7 +36,9 @@
 	loop     *loop
 	conns    *clientConns
 	ready    atomic.Bool // a list of servers is known
-	draining atomic.Bool
+	stopping atomic.Bool
+	draining atomic.Bool  // a stop is in its last part
+	asked    atomic.Int64 // when a request was last taken, Unix nanoseconds
 
 	mu   sync.Mutex
 	open map[string]struct{} // ids of the requests that have no final answer yet
@@ -84,6 +86,7 @@
 		refuse(w, r, &badRequest{http.StatusConflict, "a request with this X-Request-ID is open"})
 		return
 	}
+	f.asked.Store(time.Now().UnixNano())
 	control := http.NewResponseController(w)
 	// net/http goes on reading, to see the client leave. The deadline of the
 	// request's own bytes would look like that.
@@ -97,6 +100,15 @@
 	f.write(w, a)
 }
 
+// busySince tells whether the time or a request's arrival is less than
+// frontNotice ago.
+func (f *frontend) busySince(at time.Time) bool {
+	if asked := time.Unix(0, f.asked.Load()); asked.After(at) {
+		at = asked
+	}
+	return time.Since(at) < frontNotice
+}
+
 // claim takes an id for a request; false if one that is open has it.
 func (f *frontend) claim(id string) bool {
 	f.mu.Lock()
@@ -144,7 +156,7 @@
 }
 
 func (f *frontend) readiness(w http.ResponseWriter) {
-	if !f.ready.Load() || f.draining.Load() {
+	if !f.ready.Load() || f.stopping.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -154,6 +154,19 @@
 	}
 }
 
+// abandon answers all that is still open: the node ends.
+func (l *loop) abandon() {
+	l.post(func(now time.Duration) {
+		for _, r := range l.requests {
+			if !r.ended {
+				l.finish(r, answer{status: http.StatusBadGateway})
+				l.balancer.Left(now, r.id)
+				l.release(r)
+			}
+		}
+	})
+}
+
 // outcome tells the balancer the end of an attempt, once; what comes later is dropped.
 func (l *loop) outcome(now time.Duration, r *request, index int, res result) {
 	a := r.attempts[index]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,10 +14,16 @@
 const (
 	ownDescriptors = 24   // standard streams, runtime, listener, discovery
 	serversPart    = 0.45 // of the other descriptors; those of clients may be silent or idle
-	// frontNotice is how long connections are still dealt to a node that stops.
+	// frontNotice is how long connections are still dealt to a node that stops,
+	// and how long none of its clients must have asked for it to stop early.
 	frontNotice = 500 * time.Millisecond
-	// stopSlack is added to the longest deadline before a stop is forced.
-	stopSlack = 100 * time.Millisecond
+	// stopSlack is what a stop may take beyond the longest deadline. The node is
+	// killed 0.7 s after that.
+	stopSlack = 500 * time.Millisecond
+	// stopTail is the last part of a stop, in which nothing new is taken, and
+	// stopAnswers the end of that, in which what is still open is answered.
+	stopTail    = 300 * time.Millisecond
+	stopAnswers = 50 * time.Millisecond
 )
 
 // Node is one load balancer. Create it with Listen.
@@ -81,15 +87,24 @@
 	case <-ctx.Done():
 	}
 	slog.Info("stopping")
+	began := time.Now()
+	front.stopping.Store(true)
+	whole := n.cfg.longestDeadline() + stopSlack
+	// The clients here may have no other node to go to: they are served for as
+	// long as they ask and the stop may take.
+	for time.Since(began) < whole-stopTail && front.busySince(began) {
+		time.Sleep(10 * time.Millisecond)
+	}
 	front.draining.Store(true)
-	time.Sleep(frontNotice) // the front notices late: what it still deals is served
 	listener.Close()
 	if err := <-failed; !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
 	// Not http.Server.Shutdown: it drops requests that are just being read.
-	limit, cancel := context.WithTimeout(context.Background(), n.cfg.longestDeadline()+stopSlack)
+	limit, cancel := context.WithDeadline(context.Background(), began.Add(whole))
 	defer cancel()
+	last := time.AfterFunc(time.Until(began.Add(whole-stopAnswers)), loop.abandon)
+	defer last.Stop()
 	conns.drain(limit)
 	return nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -438,6 +439,47 @@
 	}
 }
 
+// The clients of a node that stops may have no other one: they are served on
+// their connections until shortly before the node has to end, and what is open
+// then is answered rather than cut off.
+func TestServesWhileItStops(t *testing.T) {
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/pay" {
+			<-r.Context().Done()
+			return
+		}
+		ok(w, r)
+	})
+	d := newRegistry(t, b.instance("s-0"))
+	n := start(t, testConfig(t, d, func(file map[string]any) {
+		file["settings"] = json.RawMessage(strings.ReplaceAll(settingsText, `"DeadlineMs": 8000, "PromiseMs": 6000`, `"DeadlineMs": 1000, "PromiseMs": 900`))
+	}))
+	n.waitReady(http.StatusOK)
+	steady, late := n.dial(), n.dial()
+	n.ask(steady)
+	n.ask(late)
+	began := time.Now()
+	n.stop()
+	n.waitReady(http.StatusServiceUnavailable)
+	for time.Since(began) < time.Second {
+		wait(t, b.got, "the request before")
+		if resp := n.ask(steady); resp.StatusCode != http.StatusOK || resp.Close {
+			t.Fatalf("status %d, close %v after %v", resp.StatusCode, resp.Close, time.Since(began))
+		}
+	}
+	r := n.request("pay")
+	if err := r.Write(late); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(late), r)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("the last one is answered with %v, %v", resp, err)
+	}
+	if err := wait(t, n.done, "the end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // A client that asks and asks but reads nothing must not hold its connection
 // past its time: the node closes it.
 func TestClientReadsNothing(t *testing.T) {
