--- a/cmd/yokestall/main_test.go
+++ b/cmd/yokestall/main_test.go
@@ -126,14 +126,7 @@
 	case <-time.After(patience):
 		t.Fatal("no answer")
 	}
-	select {
-	case err := <-ended:
-		if err != nil {
-			t.Errorf("ended with %v", err)
-		}
-	case <-time.After(patience):
-		t.Fatal("does not end")
-	}
+	expectEnd(t, ended)
 }
 
 // SIGHUP takes up discovery's address from the file, more than once and past a
@@ -217,14 +210,7 @@
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	select {
-	case err := <-ended:
-		if err != nil {
-			t.Errorf("ended with %v", err)
-		}
-	case <-time.After(patience):
-		t.Fatal("does not end")
-	}
+	expectEnd(t, ended)
 }
 
 // lines is a writer that hands on what is written.
@@ -234,3 +220,15 @@
 	l <- string(p)
 	return len(p), nil
 }
+
+func expectEnd(t *testing.T, ended <-chan error) {
+	t.Helper()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("does not end")
+	}
+}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -204,23 +204,17 @@
 		"noise":         func(nc net.Conn) { io.WriteString(nc, "\x00\x01") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			answered, done := make(chan net.Conn, 10), make(chan struct{}, 10)
+			done := make(chan struct{}, 10)
 			b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 				nc, _, err := w.(http.Hijacker).Hijack()
 				if err != nil {
 					return
 				}
 				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
-				answered <- nc
+				time.Sleep(time.Millisecond) // long for a server, short for a connection to settle
+				behind(nc)
+				done <- struct{}{}
 			})
-			go func() {
-				for nc := range answered {
-					time.Sleep(time.Millisecond) // long for a server, short for a connection to settle
-					behind(nc)
-					done <- struct{}{}
-				}
-			}()
-			defer close(answered)
 			u, id := upstreamsTo(b.Listener.Addr().String())
 			u.settle = time.Hour
 			send := func() {
