--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -14,16 +14,15 @@
 	// silentGrace is how long a new connection that says nothing is kept where
 	// others want its place. A client connects because it has something to ask.
 	silentGrace = 20 * time.Millisecond
-	// idleGrace is the same for one between two requests: clients are owed so long.
-	idleGrace = 2 * time.Second
 	// partGrace is the same for one that has sent a part of a request.
 	partGrace = 150 * time.Millisecond
 )
 
 // clientConns keeps the number of client connections under a cap. Over it, those
-// make room that say nothing, then those long idle, then those that don't say all:
-// a flood of them must not turn away clients that ask. A newcomer waits while one
-// of these is about to come of age. Where all are at work it is answered with a
+// make room that say nothing, then the longest idle ones, then those that don't say
+// all: a flood of them must not turn away clients that ask. Idle ones go at once: to
+// wait for them to age would hold up all that come behind, to the end of their time.
+// A newcomer waits only while one of the others is about to come of age. Where all are at work it is answered with a
 // refusal, as long as spare descriptors last.
 type clientConns struct {
 	max, spare int
@@ -162,7 +161,7 @@
 	for _, l := range []struct {
 		conns *list.List
 		grace time.Duration
-	}{{&cs.silent, silentGrace}, {&cs.idle, idleGrace}, {&cs.partial, partGrace}} {
+	}{{&cs.silent, silentGrace}, {&cs.idle, 0}, {&cs.partial, partGrace}} {
 		if e := l.conns.Front(); e != nil {
 			c := e.Value.(*clientConn)
 			if left := l.grace - now.Sub(c.since); first == nil || left < wait {
