--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -132,15 +132,19 @@
 func Script(t testing.TB, answer string, close bool) (addr string, conns chan net.Conn) {
 	conns = make(chan net.Conn, 100)
 	l := Listen(t)
+	var open sync.Map
 	go func() {
 		for {
 			nc, err := l.Accept()
-			if err != nil {
+			if err != nil { // the test has ended
+				open.Range(func(nc, _ any) bool { nc.(net.Conn).Close(); return true })
 				return
 			}
+			open.Store(nc, nil)
 			conns <- nc
 			go func() {
 				defer nc.Close()
+				defer open.Delete(nc)
 				in := bufio.NewReader(nc)
 				for {
 					r, err := http.ReadRequest(in)
