Clusters, endpoints and routes from xDS: protocol machine, translation, client, stand-in

Change: internal/xds/ads is the discovery protocol as a pure machine (both variants), translate reads Envoy's resources into the program's own types, state says what follows from them, xds has the gRPC stream and the last good version's file, xdsfile reads JSON, YAML and binary. internal/priority divides a cluster's requests among priorities by health, cold servers counted with what they bear. Engines take the time of delivery with news of drains.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,7 +22,6 @@
 	"yokestall/internal/engine"
 	"yokestall/internal/files"
 	"yokestall/internal/httpfront"
-	"yokestall/internal/httpup"
 	"yokestall/internal/route"
 	"yokestall/policy"
 )
@@ -55,16 +54,6 @@
 	clusters map[string]*running
 }
 
-// running is a cluster at work.
-type running struct {
-	cluster  *engine.Cluster
-	pool     *httpup.Pool
-	settings policy.Settings
-	upstream config.Upstream
-	given    *cluster.Cluster // the version of it that the engine was told
-	stop     context.CancelFunc
-}
-
 // Options are what an app may be told besides its files.
 type Options struct {
 	Seed uint64 // of the decisions' random draws
@@ -89,20 +78,25 @@
 // Close ends all clusters; what is open gets an answer first.
 func (a *App) Close() {
 	for _, r := range a.state.Load().clusters {
-		r.cluster.Abandon()
+		r.abandon()
 	}
 	a.stop()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, r := range a.state.Load().clusters {
-		<-r.cluster.Ended()
+		r.wait()
 	}
 	a.retired.Wait()
 }
 
 // Take puts a version in force. When it returns, the engines were told: from
 // engine.DrainGrace later nothing goes to a server that the version does not have.
-func (a *App) Take(s *files.Snapshot) error {
+func (a *App) Take(s *files.Snapshot) error { return a.TakeAt(time.Now(), s) }
+
+// TakeAt is Take for a version that was delivered at an earlier time, from which the
+// grace counts then.
+func (a *App) TakeAt(delivered time.Time, s *files.Snapshot) error {
+	told := a.clock.Now() - time.Since(delivered)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old := a.state.Load()
@@ -123,8 +117,7 @@
 		r, err := a.start(name, settings, s.Program.Upstream)
 		if err != nil { // nothing has been changed yet
 			for _, r := range started {
-				r.stop()
-				<-r.cluster.Ended()
+				r.abort()
 			}
 			return fmt.Errorf("cluster %s: %w", name, err)
 		}
@@ -132,17 +125,17 @@
 		next.clusters[name] = r
 	}
 	for name, c := range s.Version.Clusters {
-		next.clusters[name].tell(a.clock, c)
+		next.clusters[name].tell(told, c)
 	}
 	a.state.Store(next)
 	a.missing.Clear()
 	for name, r := range old.clusters {
 		if next.clusters[name] != r {
-			a.retire(r)
+			r.retire(told)
 		}
 	}
 	for _, name := range s.Program.Table.Clusters() {
-		if next.clusters[name] == nil {
+		if next.clusters[name] == nil && (old.program == nil || old.program.Table != s.Program.Table || old.clusters[name] != nil) {
 			a.Log.Warn("routes lead to a cluster that nobody defines; their requests are refused", "cluster", name)
 		}
 	}
@@ -170,86 +163,32 @@
 	return int(h.Sum32() >> 1)
 }
 
-func (a *App) start(name string, settings policy.Settings, up config.Upstream) (*running, error) {
-	ctx, stop := context.WithCancel(a.ctx)
-	pool := httpup.New(httpup.Options{
-		ServersIdle: up.Idle, ConnectTimeout: up.ConnectTimeout, MaxOpen: up.Connections, AnyAnswer: true,
-	})
-	o := engine.Options{Seed: a.Seed, Clock: a.clock}
-	if a.Sent != nil {
-		o.Sent = func(id policy.ServerID, at time.Duration) { a.Sent(name, uint64(id), a.clock.Wall(at)) }
-	}
-	c, err := engine.New(ctx, settings, pool, o)
-	if err != nil {
-		stop()
-		return nil, err
-	}
-	a.retired.Go(func() { pool.Retire(ctx) })
-	return &running{cluster: c, pool: pool, settings: settings, upstream: up, stop: stop}, nil
-}
-
-// retire has a cluster finish what is open and end.
-func (a *App) retire(r *running) {
-	r.cluster.Retire()
-	a.retired.Go(func() {
-		<-r.cluster.Ended()
-		r.pool.Update(true, nil)
-		r.stop()
-	})
-}
-
-// tell brings a cluster from the version that it was told last to another.
-func (r *running) tell(clock engine.Clock, c *cluster.Cluster) {
-	if c == r.given {
-		return
-	}
-	d := cluster.Compare(r.given, c)
-	r.given = c
-	if d.Empty() {
-		return
-	}
-	var servers []httpup.Server
-	var entries []policy.Entry
-	put := func(e *cluster.Endpoint) {
-		id := policy.ServerID(e.Key())
-		servers = append(servers, httpup.Server{ID: id, Address: e.Address, Start: float64(e.Started)})
-		entry := policy.Entry{Server: id, Zone: zone(e.Zone), Cell: e.Cell, State: policy.Ready, Weight: e.Weight}
-		if e.Health != cluster.Healthy {
-			entry.State = policy.Draining
-		}
-		if e.Started > 0 {
-			entry.Started = clock.At(time.UnixMilli(e.Started))
+// TakeClusters puts other versions of clusters in force that are there already, at the
+// cost of these alone. False, with nothing done, if one of them is not there.
+func (a *App) TakeClusters(delivered time.Time, changed []*cluster.Cluster) bool {
+	told := a.clock.Now() - time.Since(delivered)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	state := a.state.Load()
+	for _, c := range changed {
+		if state.clusters[c.Name] == nil {
+			return false
 		}
-		entries = append(entries, entry)
 	}
-	drop := func(e *cluster.Endpoint) {
-		id := policy.ServerID(e.Key())
-		servers = append(servers, httpup.Server{ID: id, Gone: true})
-		entries = append(entries, policy.Entry{Server: id, State: policy.Gone})
+	for _, c := range changed {
+		state.clusters[c.Name].tell(told, c)
 	}
-	for i := range d.Removed {
-		drop(&d.Removed[i])
-	}
-	for i := range d.Replaced {
-		drop(&d.Replaced[i].Old)
-		put(&d.Replaced[i].New)
-	}
-	for i := range d.Added {
-		put(&d.Added[i])
-	}
-	for i := range d.Changed {
-		put(&d.Changed[i].New)
-	}
-	for i := range d.Draining {
-		put(&d.Draining[i])
-	}
-	r.pool.Update(false, servers)
-	r.cluster.Members(policy.ListDelta, entries)
+	return true
 }
 
 // Route implements httpfront.Router.
 func (a *App) Route(r *http.Request) (httpfront.Destination, error) {
 	s := a.state.Load()
+	if s.program.Table == nil {
+		return httpfront.Destination{}, &httpfront.Rejection{
+			Status: http.StatusServiceUnavailable, Text: "no routes are known yet", RetryAfter: s.program.Limits.MaxRetryAfter,
+		}
+	}
 	q := route.Request{Host: r.Host, Path: r.URL.Path, Method: r.Method, Header: r.Header}
 	if s.program.Table.Weighted() {
 		q.Hash = affinity(r)
@@ -258,6 +197,9 @@
 	if !ok {
 		return httpfront.Destination{}, &httpfront.Rejection{Status: http.StatusNotFound, Text: "no route"}
 	}
+	if m.Route.Answer != nil {
+		return httpfront.Destination{}, direct(m.Route, r)
+	}
 	to := s.clusters[m.Cluster]
 	if to == nil {
 		if _, known := a.missing.LoadOrStore(m.Cluster, true); !known {
@@ -269,12 +211,31 @@
 	}
 	class := s.program.Class(m.Route.Class)
 	c := &s.program.Classes[class]
+	deadline := c.Deadline
+	if m.Route.Timeout > 0 {
+		deadline = min(deadline, m.Route.Timeout)
+	}
 	return httpfront.Destination{
-		Cluster: to.cluster, Class: class, Effect: c.Effect, Deadline: c.Deadline,
+		Cluster: to, Class: class, Effect: c.Effect, Deadline: deadline,
 		Tenants: s.tenants, MaxRetryAfter: s.program.Limits.MaxRetryAfter,
+		MaxAttempts: m.Route.MaxAttempts, PerTry: m.Route.PerTry,
 	}, nil
 }
 
+// direct is what a route answers by itself.
+func direct(r *route.Route, q *http.Request) error {
+	a := r.Answer
+	out := &httpfront.Rejection{Status: a.Status, Text: a.Text}
+	if a.Redirect {
+		scheme := "http"
+		if q.TLS != nil {
+			scheme = "https"
+		}
+		out.Location = a.Location(r, scheme, q.Host, q.URL.EscapedPath(), q.URL.RawQuery)
+	}
+	return out
+}
+
 // affinity is what keeps a request to one of a route's clusters: a retry by its client
 // must not go to another one, so the key goes before the request's own id.
 func affinity(r *http.Request) uint64 {
--- /dev/null
+++ b/internal/app/running.go
@@ -0,0 +1,255 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/config"
+	"yokestall/internal/engine"
+	"yokestall/internal/httpup"
+	"yokestall/internal/priority"
+	"yokestall/policy"
+)
+
+// running is a cluster at work: an engine for each of its tiers, of which a request gets
+// one by the tiers' health. It implements httpfront.Cluster.
+type running struct {
+	app      *App
+	name     string
+	settings policy.Settings
+	upstream config.Upstream
+	ctx      context.Context
+	stop     context.CancelFunc
+
+	now  atomic.Pointer[tiers]
+	open atomic.Int64 // requests between Do's begin and end
+
+	mu    sync.Mutex // guards what follows, and changes of now
+	all   map[priority.Key]*tier
+	given *cluster.Cluster // told last
+}
+
+// tiers is what requests see; it is not changed once it is there.
+type tiers struct {
+	plan   *priority.Plan
+	list   []*tier // as in plan.Tiers
+	bounds cluster.Bounds
+}
+
+// tier is a part of a cluster with decisions and connections of its own.
+type tier struct {
+	cluster *engine.Cluster
+	pool    *httpup.Pool
+	given   *cluster.Cluster // the version of it that the engine was told
+}
+
+func (a *App) start(name string, settings policy.Settings, up config.Upstream) (*running, error) {
+	r := &running{app: a, name: name, settings: settings, upstream: up, all: map[priority.Key]*tier{}}
+	r.ctx, r.stop = context.WithCancel(a.ctx)
+	first, err := r.tier(priority.Key{})
+	if err != nil {
+		r.stop()
+		return nil, err
+	}
+	r.now.Store(&tiers{plan: priority.New(&cluster.Cluster{}, r.rules()), list: []*tier{first}})
+	return r, nil
+}
+
+func (r *running) rules() priority.Rules {
+	return priority.Rules{ColdFrom: r.settings.Rules.ColdFrom, ColdFor: r.settings.Rules.ColdFor}
+}
+
+// tier gives a part of the cluster, started if there is none yet.
+func (r *running) tier(k priority.Key) (*tier, error) {
+	if t := r.all[k]; t != nil {
+		return t, nil
+	}
+	pool := httpup.New(httpup.Options{
+		ServersIdle: r.upstream.Idle, ConnectTimeout: r.upstream.ConnectTimeout, MaxOpen: r.upstream.Connections, AnyAnswer: true,
+	})
+	a := r.app
+	o := engine.Options{Seed: a.Seed, Clock: a.clock}
+	if a.Sent != nil {
+		o.Sent = func(id policy.ServerID, at time.Duration) { a.Sent(r.name, uint64(id), a.clock.Wall(at)) }
+	}
+	ctx, stop := context.WithCancel(r.ctx)
+	c, err := engine.New(ctx, r.settings, pool, o)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	a.retired.Go(func() { pool.Retire(ctx) })
+	a.retired.Go(func() { // the end, by retire or with the program
+		<-c.Ended()
+		pool.Update(true, nil)
+		stop()
+	})
+	t := &tier{cluster: c, pool: pool}
+	r.all[k] = t
+	return t, nil
+}
+
+// Do implements httpfront.Cluster: it holds the request to the cluster's bounds and has
+// a tier decide on it.
+func (r *running) Do(ctx context.Context, q *engine.Request) (engine.Answer, error) {
+	t := r.now.Load()
+	open := r.open.Add(1)
+	defer r.open.Add(-1)
+	refused := engine.Answer{Verdict: engine.Refused, RetryAfter: r.settings.Limits.MaxRetryAfter}
+	if n := t.bounds.MaxRequests; n > 0 && open > int64(n) {
+		return refused, nil
+	}
+	if drops := t.bounds.Drops; len(drops) > 0 {
+		for _, d := range drops {
+			if rand.Float64() < d.Share {
+				return refused, nil
+			}
+		}
+	}
+	at := 0
+	if len(t.list) > 1 {
+		at = t.plan.Pick(time.Duration(time.Now().UnixNano()), rand.Float64())
+	}
+	a, err := t.list[at].cluster.Do(ctx, q)
+	if err == engine.ErrRetired { // the version changed in between: nothing was sent
+		if now := r.now.Load(); now != t {
+			return now.list[0].cluster.Do(ctx, q)
+		}
+	}
+	return a, err
+}
+
+// tell brings the cluster from the version that it was told last to another, which was
+// delivered at a time on the clock.
+func (r *running) tell(told time.Duration, c *cluster.Cluster) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c == r.given {
+		return
+	}
+	r.given = c
+	next := &tiers{plan: priority.New(c, r.rules()), bounds: c.Bounds}
+	used := map[*tier]bool{}
+	for i := range next.plan.Tiers {
+		p := &next.plan.Tiers[i]
+		t, err := r.tier(p.Key)
+		if err != nil { // the settings were good for the first tier
+			panic(fmt.Sprintf("cluster %s: %v", r.name, err))
+		}
+		used[t] = true
+		next.list = append(next.list, t)
+	}
+	before := r.now.Load()
+	r.bound(&next.bounds)
+	// Word of a drain goes first, and the requests that come from now on see the new
+	// tiers; those that saw the old ones find there what is left.
+	for k, t := range r.all {
+		if !used[t] {
+			delete(r.all, k)
+			t.cluster.MembersAt(told, policy.ListFull, nil)
+		}
+	}
+	for i, t := range next.list {
+		t.tell(r.app.clock, told, next.plan.Tiers[i].Cluster)
+	}
+	r.now.Store(next)
+	for _, t := range before.list {
+		if !used[t] {
+			t.cluster.Retire()
+		}
+	}
+}
+
+// bound sets the figures that engines and pools hold requests to.
+func (r *running) bound(b *cluster.Bounds) {
+	timeout, most := r.upstream.ConnectTimeout, r.upstream.Connections
+	if b.ConnectTimeout > 0 {
+		timeout = b.ConnectTimeout
+	}
+	if b.MaxConnections > 0 {
+		most = min(most, b.MaxConnections)
+	}
+	for _, t := range r.all {
+		t.pool.Limit(timeout, most)
+		t.cluster.LimitRetries(b.MaxRetries)
+	}
+}
+
+// tell brings the tier to another version.
+func (t *tier) tell(clock engine.Clock, told time.Duration, c *cluster.Cluster) {
+	d := cluster.Compare(t.given, c)
+	t.given = c
+	if d.Empty() {
+		return
+	}
+	var servers []httpup.Server
+	var entries []policy.Entry
+	put := func(e *cluster.Endpoint) {
+		id := policy.ServerID(e.Key())
+		servers = append(servers, httpup.Server{ID: id, Address: e.Address, Start: float64(e.Started)})
+		entry := policy.Entry{Server: id, Zone: zone(e.Zone), Cell: e.Cell, State: policy.Ready, Weight: e.Weight}
+		if !e.Serves() {
+			entry.State = policy.Draining
+		}
+		if e.Started > 0 {
+			entry.Started = clock.At(time.UnixMilli(e.Started))
+		}
+		entries = append(entries, entry)
+	}
+	drop := func(e *cluster.Endpoint) {
+		id := policy.ServerID(e.Key())
+		servers = append(servers, httpup.Server{ID: id, Gone: true})
+		entries = append(entries, policy.Entry{Server: id, State: policy.Gone})
+	}
+	for i := range d.Removed {
+		drop(&d.Removed[i])
+	}
+	for i := range d.Replaced {
+		drop(&d.Replaced[i].Old)
+		put(&d.Replaced[i].New)
+	}
+	for i := range d.Added {
+		put(&d.Added[i])
+	}
+	for i := range d.Changed {
+		put(&d.Changed[i].New)
+	}
+	for i := range d.Draining {
+		put(&d.Draining[i])
+	}
+	t.pool.Update(false, servers)
+	t.cluster.MembersAt(told, policy.ListDelta, entries)
+}
+
+func (r *running) each(do func(*tier)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.all {
+		do(t)
+	}
+}
+
+// retire has the cluster finish what is open and end.
+func (r *running) retire(told time.Duration) {
+	r.each(func(t *tier) {
+		t.cluster.MembersAt(told, policy.ListFull, nil)
+		t.cluster.Retire()
+	})
+}
+
+// abandon answers all that is open.
+func (r *running) abandon() { r.each(func(t *tier) { t.cluster.Abandon() }) }
+
+// wait waits for the end of all engines, which the program's end has begun.
+func (r *running) wait() { r.each(func(t *tier) { <-t.cluster.Ended() }) }
+
+// abort ends a cluster that has served nothing.
+func (r *running) abort() {
+	r.stop()
+	r.wait()
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"reflect"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"yokestall/internal/app"
 	"yokestall/internal/demo"
 	"yokestall/internal/files"
+	"yokestall/internal/xds"
 )
 
 // ErrReported ends a command whose findings are printed already: exit code 1, no more text.
@@ -75,10 +77,17 @@
 	var watch sync.WaitGroup
 	defer watch.Wait()
 	defer stop()
+	source := app.NewSource(a, first)
+	if c := app.XDSConfig(first.Program, path); c != nil {
+		client := xds.New(*c, log)
+		client.Restore(source.Deliver)
+		watch.Go(func() { client.Run(ctx, source.Deliver) })
+	}
 	watch.Go(func() {
 		watcher.Run(ctx, func(s *files.Snapshot) {
-			if err := a.Take(s); err != nil {
-				log.Error("a version is not taken", "version", s.Version.Number, "err", err)
+			source.Files(s)
+			if !reflect.DeepEqual(s.Program.XDS, first.Program.XDS) {
+				log.Warn("a change of [xds] wants a restart")
 			}
 			if s.Program.Listener.Address != address {
 				log.Warn("another listen address wants a restart", "addr", s.Program.Listener.Address)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // The bounds of a version.
@@ -23,6 +24,8 @@
 	MaxEndpoints = 20000 // in one cluster
 	MaxName      = 128   // bytes of a name or an id
 	MaxWeight    = 1e6
+	MaxPriority  = 15
+	MaxDrops     = 16 // categories of a cluster
 )
 
 // Health is what a source says of an endpoint.
@@ -33,9 +36,10 @@
 	Healthy   Health = iota
 	Draining         // finishes what it has, wants nothing new
 	Unhealthy        // wants nothing new
+	Degraded         // serves where the healthy ones are not enough
 )
 
-var healths = []string{"healthy", "draining", "unhealthy"}
+var healths = []string{"healthy", "draining", "unhealthy", "degraded"}
 
 // String gives the word for a health.
 func (h Health) String() string { return healths[h] }
@@ -60,8 +64,13 @@
 	Weight  float64 // rough size, above 0 up to MaxWeight; 0: unknown
 	Health  Health
 	Started int64 // when it last started, Unix milliseconds; 0: long ago
+	// Priority is from 0, the first to be used, to MaxPriority.
+	Priority int
 }
 
+// Serves tells whether something new may go to the endpoint.
+func (e *Endpoint) Serves() bool { return e.Health == Healthy || e.Health == Degraded }
+
 // Key is the same at every node for the same process at the same place. An endpoint
 // that changes its address under the same id gets another one, so that nothing learnt
 // or opened for the former process is taken for the new one's.
@@ -83,6 +92,26 @@
 	ShrinkTo int
 	// Source names where the cluster comes from, for messages.
 	Source string
+	Bounds
+}
+
+// Bounds are what a cluster's requests are held to, beside the program's own limits. The
+// zero value holds them to nothing.
+type Bounds struct {
+	ConnectTimeout time.Duration // 0: the program's
+	MaxConnections int           // to all servers of a priority; 0: the program's
+	MaxRequests    int           // open at once; 0: no limit
+	MaxRetries     int           // second and later attempts out at once; 0: no limit
+	// Overprovision is how much of a priority's load the healthy part of it is taken to
+	// bear: 1.4 keeps all of the load on a priority of which 72 % are healthy. 0: 1.4.
+	Overprovision float64
+	Drops         []Drop
+}
+
+// Drop is a share of the requests that is refused.
+type Drop struct {
+	Category string
+	Share    float64 // 0 to 1
 }
 
 // Version is all clusters at one time. It is not changed once it is in use.
@@ -184,10 +213,22 @@
 		if len(e.Zone) > MaxName {
 			report(i, "zone", "is longer than %d bytes", MaxName)
 		}
+		if e.Priority < 0 || e.Priority > MaxPriority {
+			report(i, "priority", "%d is not from 0 to %d", e.Priority, MaxPriority)
+		}
 		if e.Started < 0 {
 			report(i, "started_ms", "%d is negative", e.Started)
 		}
 	}
+	for i, d := range c.Drops {
+		if i >= MaxDrops {
+			report(-1, "drops", "%d categories; %d at most", len(c.Drops), MaxDrops)
+			break
+		}
+		if math.IsNaN(d.Share) || d.Share < 0 || d.Share > 1 {
+			report(-1, "drops", "%s: %v is not from 0 to 1", d.Category, d.Share)
+		}
+	}
 	if len(found) > 0 {
 		return errors.Join(found...)
 	}
@@ -272,7 +313,7 @@
 			switch {
 			case x.Address != y.Address || x.Started != y.Started:
 				d.Replaced = append(d.Replaced, Change{*x, *y})
-			case y.Health != Healthy && x.Health == Healthy:
+			case !y.Serves() && x.Serves():
 				d.Draining = append(d.Draining, *y)
 			case *x != *y:
 				d.Changed = append(d.Changed, Change{*x, *y})
@@ -308,7 +349,7 @@
 		d := Compare(before, after)
 		lost := len(d.Draining)
 		for i := range d.Removed {
-			if d.Removed[i].Health == Healthy {
+			if d.Removed[i].Serves() {
 				lost++
 			}
 		}
@@ -330,7 +371,7 @@
 
 func (c *Cluster) healthy() (n int) {
 	for i := range c.Endpoints {
-		if c.Endpoints[i].Health == Healthy {
+		if c.Endpoints[i].Serves() {
 			n++
 		}
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -53,6 +54,24 @@
 	Poll     time.Duration
 }
 
+// XDS says which control planes or files in xDS form are followed; the zero value: none.
+type XDS struct {
+	Servers     []string // host:port, in order of preference
+	Incremental bool
+	NodeID      string
+	NodeGroup   string
+	Listener    string // whose routes are followed; "": Routes are
+	Routes      string // the route configuration that is followed; "": the only one there is
+	Named       bool   // only clusters that routes lead to are asked for
+	Class       string // of routes that name none; "": those are refused
+	Keep        string // file for the last good version; "": none
+	Folder      string // of files in xDS form; "": none
+	MaxMessage  int    // bytes
+}
+
+// On tells whether any is followed.
+func (x *XDS) On() bool { return len(x.Servers) > 0 || x.Folder != "" }
+
 // Class is a class of requests; its place in Program.Classes is its index for policy.
 type Class struct {
 	Name string
@@ -78,7 +97,24 @@
 	Classes  []Class
 	Tenants  []Tenant
 	Hosts    []route.VirtualHost
-	Table    *route.Table
+	Table    *route.Table // nil: routes are to come from a control plane
+	XDS      XDS
+}
+
+// Routed gives the program with routes, and classes beside its own, from elsewhere;
+// tenants replace its own if there are any. The program's own routes go first: with some,
+// it is given back as it is.
+func (p *Program) Routed(table *route.Table, hosts []route.VirtualHost, classes []Class, tenants []Tenant) *Program {
+	if len(p.Hosts) > 0 {
+		return p
+	}
+	out := *p
+	out.Hosts, out.Table = hosts, table
+	out.Classes = append(slices.Clone(p.Classes), classes...)
+	if len(tenants) > 0 {
+		out.Tenants = tenants
+	}
+	return &out
 }
 
 // Class gives the index of a class, -1 if there is none of the name.
@@ -94,6 +130,46 @@
 	return err
 }
 
+// classFile is the part of a file on classes and tenants.
+type classFile struct {
+	Class []struct {
+		Name      string   `toml:"name" json:"name"`
+		Effect    string   `toml:"effect" json:"effect"`
+		Scope     string   `toml:"scope" json:"scope"`
+		Window    duration `toml:"window" json:"window"`
+		Deadline  duration `toml:"deadline" json:"deadline"`
+		Aim       duration `toml:"aim" json:"aim"`
+		Worth     float64  `toml:"worth" json:"worth"`
+		LateWorth float64  `toml:"late_worth" json:"late_worth"`
+	} `toml:"class" json:"classes"`
+	Tenant []struct {
+		Name      string  `toml:"name" json:"name"`
+		QuotaPerS float64 `toml:"quota_per_s" json:"quota_per_s"`
+	} `toml:"tenant" json:"tenants"`
+}
+
+// ParseClasses reads classes and tenants that come in a resource of a control plane, as
+// JSON: {"classes": [...], "tenants": [...]} with the keys of the program's own file.
+// Either may be missing.
+func ParseClasses(text []byte) ([]Class, []Tenant, error) {
+	var f classFile
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return nil, nil, err
+	}
+	var p Program
+	var found []error
+	report := func(table string, index int, key, format string, args ...any) {
+		found = append(found, fmt.Errorf("%s %d: %s: %s", table, index+1, key, fmt.Sprintf(format, args...)))
+	}
+	if len(f.Class) > 0 {
+		p.classes(&f, report)
+	}
+	p.tenants(&f, report)
+	return p.Classes, p.Tenants, errors.Join(found...)
+}
+
 type programFile struct {
 	Listen struct {
 		Address     string `toml:"address"`
@@ -110,6 +186,19 @@
 		MaxShare float64  `toml:"max_removed_share"`
 		Poll     duration `toml:"poll"`
 	} `toml:"files"`
+	XDS struct {
+		Servers    []string `toml:"servers"`
+		Variant    string   `toml:"variant"`
+		NodeID     string   `toml:"node_id"`
+		NodeGroup  string   `toml:"node_cluster"`
+		Listener   string   `toml:"listener"`
+		Routes     string   `toml:"routes"`
+		Clusters   string   `toml:"clusters"`
+		Class      string   `toml:"class"`
+		Keep       string   `toml:"keep"`
+		Folder     string   `toml:"folder"`
+		MaxMessage int      `toml:"max_message_mb"`
+	} `toml:"xds"`
 	Limits struct {
 		Attempts      int      `toml:"attempts"`
 		SecondCopies  bool     `toml:"second_copies"`
@@ -125,20 +214,7 @@
 		FallMultiple float64  `toml:"fall_multiple"`
 		FallFor      duration `toml:"fall_for"`
 	} `toml:"fleet"`
-	Class []struct {
-		Name      string   `toml:"name"`
-		Effect    string   `toml:"effect"`
-		Scope     string   `toml:"scope"`
-		Window    duration `toml:"window"`
-		Deadline  duration `toml:"deadline"`
-		Aim       duration `toml:"aim"`
-		Worth     float64  `toml:"worth"`
-		LateWorth float64  `toml:"late_worth"`
-	} `toml:"class"`
-	Tenant []struct {
-		Name      string  `toml:"name"`
-		QuotaPerS float64 `toml:"quota_per_s"`
-	} `toml:"tenant"`
+	classFile
 	Host []struct {
 		Name    string   `toml:"name"`
 		Domains []string `toml:"domains"`
@@ -236,6 +312,7 @@
 	f.Files.MaxShare, f.Files.Poll.Duration = 0.5, time.Second
 	f.Limits.Attempts = 3
 	f.Fleet.Nodes = 1
+	f.XDS.Variant, f.XDS.Clusters, f.XDS.MaxMessage = "incremental", "all", 64
 	f.Fleet.ColdFrom, f.Fleet.ColdFor.Duration = d.Rules.ColdFrom, d.Rules.ColdFor
 	f.Fleet.FallMultiple, f.Fleet.FallFor.Duration = d.Rules.FallMultiple, d.Rules.FallFor
 	if err := decode(name, text, &f); err != nil {
@@ -288,7 +365,10 @@
 	}
 	within("upstream", "idle", p.Upstream.Idle, 100*time.Millisecond, time.Hour)
 	within("upstream", "connect_timeout", p.Upstream.ConnectTimeout, time.Millisecond, time.Minute)
-	if p.Files.Folder == "" {
+	p.classes(&f.classFile, report)
+	p.tenants(&f.classFile, report)
+	p.xds(&f, report)
+	if p.Files.Folder == "" && !p.XDS.On() {
 		report("files", -1, "clusters", "is missing: the folder of the cluster files")
 	}
 	if s := p.Files.MaxShare; math.IsNaN(s) || s < 0 || s > 1 {
@@ -313,10 +393,8 @@
 	}
 	within("fleet", "cold_for", p.Rules.ColdFor, 0, time.Hour)
 	within("fleet", "fall_for", p.Rules.FallFor, 0, time.Hour)
-	p.classes(&f, report)
-	p.tenants(&f, report)
 	p.routes(&f, report)
-	if len(found) == 0 {
+	if len(found) == 0 && len(p.Hosts) > 0 {
 		var err error
 		if p.Table, err = route.Compile(p.Hosts); err != nil {
 			found = append(found, &cluster.Problem{Source: name, Text: err.Error()})
@@ -330,7 +408,7 @@
 
 type reporter func(table string, index int, key, format string, args ...any)
 
-func (p *Program) classes(f *programFile, report reporter) {
+func (p *Program) classes(f *classFile, report reporter) {
 	if n := len(f.Class); n == 0 || n > MaxClasses {
 		report("class", -1, "", "%d classes; 1 to %d", n, MaxClasses)
 	}
@@ -379,7 +457,7 @@
 	}
 }
 
-func (p *Program) tenants(f *programFile, report reporter) {
+func (p *Program) tenants(f *classFile, report reporter) {
 	if n := len(f.Tenant); n > MaxTenants {
 		report("tenant", -1, "", "%d tenants; %d at most", n, MaxTenants)
 	}
@@ -399,7 +477,45 @@
 	}
 }
 
+func (p *Program) xds(f *programFile, report reporter) {
+	x := &f.XDS
+	p.XDS = XDS{
+		Servers: x.Servers, Incremental: x.Variant == "incremental", NodeID: x.NodeID, NodeGroup: x.NodeGroup,
+		Listener: x.Listener, Routes: x.Routes, Named: x.Clusters == "routed", Class: x.Class,
+		Keep: x.Keep, Folder: x.Folder, MaxMessage: x.MaxMessage << 20,
+	}
+	if n := len(x.Servers); n > 16 {
+		report("xds", -1, "servers", "%d; 16 at most", n)
+	}
+	for _, s := range x.Servers {
+		if host, port, err := net.SplitHostPort(s); err != nil || host == "" || port == "" {
+			report("xds", -1, "servers", "%q is no host:port", s)
+		}
+	}
+	if x.Variant != "incremental" && x.Variant != "state-of-the-world" {
+		report("xds", -1, "variant", "%q is none of incremental, state-of-the-world", x.Variant)
+	}
+	if x.Clusters != "all" && x.Clusters != "routed" {
+		report("xds", -1, "clusters", "%q is none of all, routed", x.Clusters)
+	}
+	if n := x.MaxMessage; n < 1 || n > 256 {
+		report("xds", -1, "max_message_mb", "%d is not from 1 to 256", n)
+	}
+	if len(x.Servers) > 0 && x.Listener == "" && x.Routes == "" && len(f.Host) == 0 {
+		report("xds", -1, "servers", "listener or routes has to say which routes are followed, or [[host]] has to have some")
+	}
+	if x.Listener != "" && x.Routes != "" {
+		report("xds", -1, "routes", "stands beside listener; one of them")
+	}
+	if x.Class != "" && !slices.ContainsFunc(p.Classes, func(c Class) bool { return c.Name == x.Class }) {
+		report("xds", -1, "class", "%q is no [[class]]", x.Class)
+	}
+}
+
 func (p *Program) routes(f *programFile, report reporter) {
+	if len(f.Host) == 0 && p.XDS.On() {
+		return
+	}
 	if len(f.Host) == 0 {
 		report("host", -1, "", "no [[host]]: nothing would be routed")
 	}
@@ -516,6 +632,7 @@
 		Cell      int     `toml:"cell"`
 		Weight    float64 `toml:"weight"`
 		Health    string  `toml:"health"`
+		Priority  int     `toml:"priority"`
 		StartedMs int64   `toml:"started_ms"`
 	} `toml:"endpoint"`
 	End struct {
@@ -592,6 +709,7 @@
 		}
 		c.Endpoints = append(c.Endpoints, cluster.Endpoint{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, Health: health, Started: e.StartedMs,
+			Priority: e.Priority,
 		})
 	}
 	if err := c.Check(at); err != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -205,6 +205,8 @@
 	Hint          time.Duration // a guess at the work; 0: none
 	End           time.Duration // on the Clock: when the final answer must be out
 	Payload       any           // for the Exchanger
+	MaxAttempts   int           // less than the cluster's limit; 0: that one holds
+	PerTry        time.Duration // the longest that an attempt is waited for; 0: the Balancer's choice
 
 	id       policy.RequestID
 	answer   chan Answer // takes one
@@ -220,6 +222,7 @@
 	Call
 	decided time.Duration
 	told    bool // the Balancer has its outcome
+	retry   bool // counts in Cluster.retries
 	timeout alarm
 }
 
@@ -257,6 +260,8 @@
 	gone    chan struct{} // closed when the loop has ended
 	retired atomic.Bool
 	open    atomic.Int64 // requests between Do's begin and end
+	// maxRetries is how many second and later attempts may be out at once; 0: no limit.
+	maxRetries atomic.Int64
 
 	mu      sync.RWMutex // guards members: they are told on the teller's goroutine
 	members map[policy.ServerID]*member
@@ -266,6 +271,7 @@
 	requests map[policy.RequestID]*Request
 	lastID   policy.RequestID
 	maxTries int
+	retries  int // second and later attempts that are out
 	alarms   alarms
 	after    []event // what host calls leave to be told to the Balancer
 }
@@ -458,6 +464,9 @@
 	}
 }
 
+// LimitRetries sets how many second and later attempts may be out at once; 0: no limit.
+func (c *Cluster) LimitRetries(n int) { c.maxRetries.Store(int64(n)) }
+
 // Ended is closed when the cluster has ended.
 func (c *Cluster) Ended() <-chan struct{} { return c.gone }
 
@@ -468,8 +477,14 @@
 // from DrainGrace after it nothing is sent to a server that drains, is gone or, with a
 // whole list, is not on it. False if the cluster has ended.
 func (c *Cluster) Members(kind policy.ListKind, entries []policy.Entry) bool {
+	return c.MembersAt(c.clock.Now(), kind, entries)
+}
+
+// MembersAt is Members for news that was delivered at an earlier time on the clock: what
+// became of it in between doesn't add to the time in which sends may still begin.
+func (c *Cluster) MembersAt(told time.Duration, kind policy.ListKind, entries []policy.Entry) bool {
 	if kind != policy.ListFailed {
-		c.tell(c.clock.Now(), kind != policy.ListDelta, entries)
+		c.tell(told, kind != policy.ListDelta, entries)
 	}
 	return c.post(event{kind: evMembers, list: kind, entries: entries})
 }
@@ -547,6 +562,9 @@
 	}
 	a.told = true
 	r.out--
+	if a.retry {
+		c.retries--
+	}
 	a.Revoke()
 	a.Stop()
 	c.alarms.clear(&a.timeout)
@@ -600,10 +618,23 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.ended || index >= c.maxTries || now >= r.End || a.server == nil {
+	most := c.maxTries
+	if r.MaxAttempts > 0 {
+		most = min(most, r.MaxAttempts)
+	}
+	limit := int(c.maxRetries.Load())
+	full := index > 0 && limit > 0 && c.retries >= limit
+	if r.ended || index >= most || now >= r.End || a.server == nil || full {
 		c.after = append(c.after, event{kind: evOutcome, request: r, index: index, result: Result{Status: policy.Moot}})
 		return
 	}
+	if index > 0 {
+		a.retry = true
+		c.retries++
+	}
+	if r.PerTry > 0 && (timeout == 0 || timeout > r.PerTry) {
+		timeout = r.PerTry
+	}
 	if timeout > 0 && now+timeout < r.End {
 		a.timeout = alarm{at: now + timeout, request: r, index: index}
 		c.alarms.set(&a.timeout)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -46,6 +46,8 @@
 	Deadline      time.Duration  // the longest that a client of the class waits
 	Tenants       map[string]int // name to index; nil if requests have none
 	MaxRetryAfter time.Duration  // what a client that finds no place is told to wait; 0: nothing
+	MaxAttempts   int            // less than the cluster's limit; 0: that one holds
+	PerTry        time.Duration  // the longest that an attempt is waited for; 0: no such limit
 }
 
 // Cluster has a request decided; *engine.Cluster is one.
@@ -64,6 +66,7 @@
 	Status     int
 	Text       string
 	Allow      string        // for 405
+	Location   string        // for 3xx
 	RetryAfter time.Duration // for 503; 0: nothing to advise
 }
 
@@ -248,6 +251,9 @@
 	if bad.Allow != "" {
 		w.Header().Set("Allow", bad.Allow)
 	}
+	if bad.Location != "" {
+		w.Header().Set("Location", bad.Location)
+	}
 	if bad.RetryAfter > 0 {
 		w.Header().Set("Retry-After", seconds(bad.RetryAfter))
 	}
@@ -347,7 +353,8 @@
 	}
 	return &engine.Request{
 		Class: to.Class, Tenant: tenant, Hint: time.Duration(hint) * time.Microsecond,
-		End:     f.options.Clock.Now() + patience - answerMargin,
+		End:         f.options.Clock.Now() + patience - answerMargin,
+		MaxAttempts: to.MaxAttempts, PerTry: to.PerTry,
 		Payload: &httpup.Request{Method: r.Method, Target: target, Host: r.Host, Header: out, Body: body},
 	}, nil
 }
--- a/internal/httpup/httpup.go
+++ b/internal/httpup/httpup.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// Limit changes the figures of connections that are opened from now on.
+func (u *Pool) Limit(connectTimeout time.Duration, maxOpen int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.connectTimeout, u.maxOpen = connectTimeout, maxOpen
+}
+
 // Update follows the list of servers; whole if those that it does not name are gone. A
 // server at a new address or with a new start is another process: connections to the
 // former one are dropped.
@@ -283,7 +290,9 @@
 	if c != nil || status != policy.OK {
 		return c, status
 	}
+	u.mu.Lock()
 	dialer := net.Dialer{Timeout: u.connectTimeout, KeepAlive: -1}
+	u.mu.Unlock()
 	nc, err := dialer.DialContext(call.Context(), "tcp", s.addr)
 	if err != nil {
 		u.mu.Lock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,9 +8,12 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"net"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // The bounds of a table.
@@ -70,6 +73,49 @@
 	// Clusters share the requests by a stable hash; one with any weight gets all.
 	Clusters []Weighted
 	Class    string
+	// Limits within which the cluster's decisions stay (route.v3.RouteAction).
+	Timeout     time.Duration // of the whole request; 0: the class's deadline
+	MaxAttempts int           // 1 or more; 0: the program's
+	PerTry      time.Duration // of one attempt; 0: no such limit
+	// Answer is given in place of a cluster's; Clusters is empty then.
+	Answer *Answer
+}
+
+// Answer is what a route says by itself (route.v3.DirectResponseAction, RedirectAction).
+type Answer struct {
+	Status int
+	Text   string
+	// For a redirect: what replaces the parts of the request's own URL; "" keeps one.
+	Redirect                   bool
+	Scheme, Host, Path, Prefix string
+	Port                       int // 0: none is named
+	StripQuery                 bool
+}
+
+// Location gives where a redirect leads to.
+func (a *Answer) Location(r *Route, scheme, host, path, query string) string {
+	if a.Scheme != "" {
+		scheme = a.Scheme
+	}
+	if a.Host != "" {
+		host = a.Host
+	}
+	if a.Port != 0 {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+		host = net.JoinHostPort(strings.Trim(host, "[]"), strconv.Itoa(a.Port))
+	}
+	switch {
+	case a.Path != "":
+		path = a.Path
+	case a.Prefix != "":
+		path = a.Prefix + strings.TrimPrefix(path, r.Path)
+	}
+	if query != "" && !a.StripQuery {
+		path += "?" + query
+	}
+	return scheme + "://" + host + path
 }
 
 // VirtualHost is a list of routes for some domains.
@@ -186,8 +232,13 @@
 // Weighted tells whether Request.Hash matters to any route.
 func (t *Table) Weighted() bool { return t.weighted }
 
-// Clusters names all clusters that routes lead to, sorted.
-func (t *Table) Clusters() []string { return t.clusters }
+// Clusters names all clusters that routes lead to, sorted; none of a nil table.
+func (t *Table) Clusters() []string {
+	if t == nil {
+		return nil
+	}
+	return t.clusters
+}
 
 func (a *affixes) sort() {
 	seen := map[int]bool{}
@@ -297,6 +348,12 @@
 		}
 		c.headers = append(c.headers, ch)
 	}
+	if r.Answer != nil {
+		if len(r.Clusters) > 0 || r.Answer.Status < 200 || r.Answer.Status > 599 {
+			return c, "", fmt.Errorf("answer: %d with %d clusters", r.Answer.Status, len(r.Clusters))
+		}
+		return c, start, nil
+	}
 	if len(r.Clusters) == 0 || len(r.Clusters) > MaxClusters {
 		return c, "", fmt.Errorf("clusters: %d; 1 to %d", len(r.Clusters), MaxClusters)
 	}
@@ -456,6 +513,9 @@
 // cluster picks by hash, so that the same hash gets the same cluster for as long as the
 // weights stay.
 func (c *compiled) cluster(hash uint64) string {
+	if len(c.Clusters) == 0 {
+		return "" // it answers by itself
+	}
 	if len(c.Clusters) == 1 || c.total == 0 {
 		return c.Clusters[0].Cluster
 	}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -196,6 +196,9 @@
 	return l
 }
 
+// Quiet is a logger for what would be thousands of lines.
+var Quiet = slog.New(slog.DiscardHandler)
+
 // Log gives a logger whose lines go to the test's own output.
 func Log(t testing.TB) *slog.Logger { return NewLogs(t).Logger() }
 
