--- a/internal/xds/ads/ads.go
+++ b/internal/xds/ads/ads.go
@@ -144,6 +144,7 @@
 	open    bool // there is a stream
 	heard   bool // and a response came on it
 	opened  time.Duration
+	plane   string // the stream's control plane
 }
 
 // state is what is known of a type.
@@ -157,6 +158,7 @@
 	nonce    string                   // the latest
 	answered []string                 // nonces, the oldest first
 	asked    bool                     // on this stream
+	plane    string                   // the control plane that answered last
 }
 
 // New makes a machine with no stream.
@@ -183,9 +185,11 @@
 	return m.types[t].version, maps.Clone(m.types[t].versions)
 }
 
-// Opened starts a stream: it gives the first requests.
-func (m *Machine) Opened(now time.Duration) (out []Request) {
-	m.open, m.heard, m.opened = true, false, now
+// Opened starts a stream to a control plane: it gives the first requests. A control plane
+// that did not give the versions that are known of a type may mean something else by the
+// same version, and would send nothing: it is told none, or ones that it can't have.
+func (m *Machine) Opened(now time.Duration, plane string) (out []Request) {
+	m.open, m.heard, m.opened, m.plane = true, false, now, plane
 	for t := range Types {
 		s := &m.types[t]
 		s.nonce, s.answered, s.asked = "", nil, false
@@ -208,7 +212,7 @@
 	}
 	r := Request{Type: t}
 	if m.options.Variant == StateOfTheWorld {
-		if r.Names = m.list(t); len(s.waiting) == 0 {
+		if r.Names = m.list(t); len(s.waiting) == 0 && s.plane == m.plane {
 			// With a name that is not known the version must not be told: a control plane
 			// that has nothing newer would send nothing.
 			r.Version = s.version
@@ -219,6 +223,11 @@
 		r.Subscribe = append([]string{"*"}, r.Subscribe...)
 	}
 	r.Initial = maps.Clone(s.versions)
+	if s.plane != m.plane { // named all the same, so that those that are gone there are told of
+		for name := range r.Initial {
+			r.Initial[name] = "of another control plane"
+		}
+	}
 	return r
 }
 
@@ -310,7 +319,7 @@
 	case slices.Contains(s.answered, r.Nonce):
 		return u, nil, fmt.Errorf("%v: nonce %.64q was answered before", t, r.Nonce)
 	}
-	m.heard = true
+	m.heard, s.plane = true, m.plane
 	s.nonce = r.Nonce
 	s.answered = append(s.answered, r.Nonce)
 	if len(s.answered) > maxAnswered {
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -274,7 +274,7 @@
 		<-ended
 		<-ended
 	}()
-	if err := x.send(x.machine.Opened(x.now())); err != nil {
+	if err := x.send(x.machine.Opened(x.now(), addr)); err != nil {
 		return err
 	}
 	x.log.Info("following a control plane", "addr", addr)
--- /dev/null
+++ b/internal/xds/client_test.go
@@ -0,0 +1,195 @@
+package xds
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"yokestall/internal/standin/controlplane"
+	"yokestall/internal/testkit"
+	"yokestall/internal/xds/ads"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+const clusterURL = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
+
+func static(name string) proto.Message {
+	return &clusterv3.Cluster{Name: name, ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, AltStatName: strings.Repeat("x", 1000)}
+}
+
+func plane(t *testing.T, clusters ...string) *controlplane.Plane {
+	p, err := controlplane.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Down)
+	put(t, p, clusters...)
+	return p
+}
+
+func put(t *testing.T, p *controlplane.Plane, clusters ...string) {
+	all := map[string]proto.Message{}
+	for _, name := range clusters {
+		all[name] = static(name)
+	}
+	if err := p.Set(all); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// run follows planes; seen waits until a cluster is in force.
+func run(t *testing.T, c Config) (seen func(name string), logs *testkit.Logs) {
+	logs = testkit.NewLogs(t)
+	c.Backoff = ads.Backoff{Base: 5 * time.Millisecond, Max: 50 * time.Millisecond, Prefer: c.Backoff.Prefer}
+	if c.Backoff.Prefer == 0 {
+		c.Backoff.Prefer = time.Hour
+	}
+	client := New(c, logs.Logger())
+	var mu sync.Mutex
+	all := map[string]bool{}
+	take := func(d *Delivery) {
+		mu.Lock()
+		defer mu.Unlock()
+		clear(all)
+		for name := range d.View.Clusters() {
+			all[name] = true
+		}
+	}
+	client.Restore(take)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { client.Run(ctx, take) })
+	t.Cleanup(func() { stop(); running.Wait() })
+	return func(name string) {
+		t.Helper()
+		testkit.Until(t, "cluster "+name, func() bool { mu.Lock(); defer mu.Unlock(); return all[name] })
+	}, logs
+}
+
+var variants = map[string]ads.Variant{"state of the world": ads.StateOfTheWorld, "incremental": ads.Incremental}
+
+// A plane that is silent with its connection up, one that refuses, one that is there; once
+// the preferred one speaks again it is followed.
+func TestPreference(t *testing.T) {
+	for name, variant := range variants {
+		t.Run(name, func(t *testing.T) {
+			first, second := plane(t, "of-first"), plane(t, "of-second")
+			first.Misbehave(controlplane.Silent)
+			seen, logs := run(t, Config{
+				Servers: []string{first.Addr(), testkit.RefusingAddr(t), second.Addr()}, Variant: variant,
+				Answer: 50 * time.Millisecond, Backoff: ads.Backoff{Prefer: 200 * time.Millisecond},
+			})
+			seen("of-second")
+			logs.Wait("silent for 50ms")
+			logs.Wait("preferred control plane is back")
+			seen("of-first")
+		})
+	}
+}
+
+// A plane that flaps is followed all the same, and its streams are bounded in number.
+func TestFlaps(t *testing.T) {
+	p := plane(t, "a")
+	seen, _ := run(t, Config{Servers: []string{p.Addr()}, Variant: ads.Incremental})
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		p.Break()
+		put(t, p, name)
+		seen(name)
+	}
+	if opened, open := p.Streams(); opened > 12 || open > 1 {
+		t.Errorf("%d streams, %d open", opened, open)
+	}
+	for _, versions := range p.Initial()[1:] {
+		if versions["a"] == "" {
+			t.Errorf("a stream begins with %v", versions)
+		}
+	}
+}
+
+// More than a message may have ends the stream with a clear cause; what was there stays.
+func TestMessageTooLarge(t *testing.T) {
+	p := plane(t, "a")
+	seen, logs := run(t, Config{Servers: []string{p.Addr()}, Variant: ads.StateOfTheWorld, MaxMessage: 64 << 10})
+	seen("a")
+	var many []string
+	for i := range 100 {
+		many = append(many, "c"+strings.Repeat("x", i))
+	}
+	put(t, p, many...)
+	logs.Wait("larger than max")
+	seen("a")
+	p.Remove(clusterURL, many...)
+	put(t, p, "b")
+	seen("b")
+}
+
+// The kept version is used whole or not at all, wherever its file was cut or changed.
+func TestKept(t *testing.T) {
+	keep := filepath.Join(t.TempDir(), "kept")
+	p := plane(t, "a", "b")
+	c := Config{Servers: []string{p.Addr()}, Variant: ads.Incremental, Keep: keep}
+	t.Run("write", func(t *testing.T) {
+		seen, _ := run(t, c)
+		seen("b")
+	})
+	p.Down()
+	text, err := os.ReadFile(keep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := parseKept(text)
+	if err != nil || len(got.resources[ads.Cluster]) != 2 || time.Since(got.at) > time.Hour {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for n := range text {
+		if _, err := parseKept(text[:n]); err == nil {
+			t.Fatalf("the first %d of %d bytes are taken", n, len(text))
+		}
+		broken := append([]byte(nil), text...)
+		if broken[n] ^= 1; n > len(keepMark)+14 { // what stands before is the mark and the age
+			if _, err := parseKept(broken); err == nil {
+				t.Fatalf("byte %d of %d is another one, and it is taken", n, len(text))
+			}
+		}
+	}
+	t.Run("use", func(t *testing.T) {
+		seen, logs := run(t, c)
+		seen("a")
+		logs.Wait("starting from the last good version")
+	})
+	t.Run("broken", func(t *testing.T) {
+		if err := os.WriteFile(keep, text[:len(text)-1], 0o644); err != nil {
+			t.Fatal(err)
+		}
+		_, logs := run(t, c)
+		logs.Wait("the last good version can't be used")
+	})
+}
+
+// FuzzParse: a message that is none ends the stream with an error and no more.
+func FuzzParse(f *testing.F) {
+	b, err := proto.Marshal(&discoveryv3.DeltaDiscoveryResponse{TypeUrl: clusterURL, Nonce: "1", RemovedResources: []string{"x"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(true, b)
+	f.Fuzz(func(t *testing.T, delta bool, b []byte) {
+		x := &Client{}
+		if delta {
+			x.config.Variant = ads.Incremental
+		}
+		if r, err := x.parse(b); (r == nil) == (err == nil) {
+			t.Fatalf("%v, %v", r, err)
+		}
+		parseKept(b)
+	})
+}
--- /dev/null
+++ b/internal/xds/translate/fields_test.go
@@ -0,0 +1,375 @@
+package translate
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	hcmv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/network/http_connection_manager/v3"
+	uriv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/path/match/uri_template/v3"
+	matcherv3 "github.com/envoyproxy/go-control-plane/envoy/type/matcher/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/structpb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"yokestall/internal/xds/ads"
+)
+
+var options = Options{Classes: []string{"read", "pay"}, Class: "read"}
+
+func pack(m proto.Message) *anypb.Any {
+	a, err := anypb.New(m)
+	if err != nil {
+		panic(err)
+	}
+	return a
+}
+
+func own(key string, v any) *corev3.Metadata {
+	value, err := structpb.NewValue(v)
+	if err != nil {
+		panic(err)
+	}
+	return &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{Namespace: {Fields: map[string]*structpb.Value{key: value}}}}
+}
+
+func endpointAt(ip string, port uint32) *endpointv3.Endpoint {
+	return &endpointv3.Endpoint{Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
+		Address: ip, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: port},
+	}}}}
+}
+
+func baseCluster() *clusterv3.Cluster {
+	return &clusterv3.Cluster{
+		Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_EDS},
+		EdsClusterConfig: &clusterv3.Cluster_EdsClusterConfig{}, CommonLbConfig: &clusterv3.Cluster_CommonLbConfig{},
+		CircuitBreakers: &clusterv3.CircuitBreakers{Thresholds: []*clusterv3.CircuitBreakers_Thresholds{{MaxRequests: wrapperspb.UInt32(9)}}},
+	}
+}
+
+func baseAssignment() *endpointv3.ClusterLoadAssignment {
+	return &endpointv3.ClusterLoadAssignment{
+		ClusterName: "c",
+		Policy: &endpointv3.ClusterLoadAssignment_Policy{DropOverloads: []*endpointv3.ClusterLoadAssignment_Policy_DropOverload{{
+			Category: "k", DropPercentage: &typev3.FractionalPercent{Numerator: 5},
+		}}},
+		Endpoints: []*endpointv3.LocalityLbEndpoints{{Locality: &corev3.Locality{Zone: "z"}, LbEndpoints: []*endpointv3.LbEndpoint{{
+			HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: endpointAt("10.0.0.1", 80)},
+		}}}},
+	}
+}
+
+func baseRoute(action any) *routev3.RouteConfiguration {
+	r := &routev3.Route{Name: "r", Match: &routev3.RouteMatch{
+		PathSpecifier: &routev3.RouteMatch_Prefix{Prefix: "/p"},
+		Headers:       []*routev3.HeaderMatcher{{Name: "X-A"}},
+	}}
+	switch a := action.(type) {
+	case *routev3.RouteAction:
+		r.Action = &routev3.Route_Route{Route: a}
+	case *routev3.RedirectAction:
+		r.Action = &routev3.Route_Redirect{Redirect: a}
+	case *routev3.DirectResponseAction:
+		r.Action = &routev3.Route_DirectResponse{DirectResponse: a}
+	}
+	return &routev3.RouteConfiguration{Name: "main", VirtualHosts: []*routev3.VirtualHost{{Name: "v", Domains: []string{"*"}, Routes: []*routev3.Route{r}}}}
+}
+
+func plainAction() *routev3.RouteAction {
+	return &routev3.RouteAction{
+		ClusterSpecifier: &routev3.RouteAction_Cluster{Cluster: "c"}, RetryPolicy: &routev3.RetryPolicy{RetryOn: "5xx"},
+	}
+}
+
+func weighted() *routev3.RouteAction {
+	return &routev3.RouteAction{ClusterSpecifier: &routev3.RouteAction_WeightedClusters{WeightedClusters: &routev3.WeightedCluster{
+		Clusters: []*routev3.WeightedCluster_ClusterWeight{{Name: "a", Weight: wrapperspb.UInt32(1)}, {Name: "b", Weight: wrapperspb.UInt32(2)}},
+	}}}
+}
+
+func manager() *hcmv3.HttpConnectionManager {
+	return &hcmv3.HttpConnectionManager{RouteSpecifier: &hcmv3.HttpConnectionManager_Rds{Rds: &hcmv3.Rds{RouteConfigName: "main"}}}
+}
+
+func listenerOf(m *hcmv3.HttpConnectionManager) *listenerv3.Listener {
+	return &listenerv3.Listener{Name: "l", ApiListener: &listenerv3.ApiListener{ApiListener: pack(m)}}
+}
+
+// subject is a message of a good resource; make gives the resource and the message in it.
+type subject struct {
+	t    ads.Type
+	make func() (whole func() proto.Message, part proto.Message)
+}
+
+func of[M proto.Message](t ads.Type, base func() M, part func(M) proto.Message) subject {
+	return subject{t, func() (func() proto.Message, proto.Message) {
+		b := base()
+		return func() proto.Message { return b }, part(b)
+	}}
+}
+
+type (
+	assignment = *endpointv3.ClusterLoadAssignment
+	routes     = *routev3.RouteConfiguration
+)
+
+func routeOf(c routes) *routev3.Route { return c.VirtualHosts[0].Routes[0] }
+
+var subjects = []subject{
+	of(ads.Cluster, baseCluster, func(c *clusterv3.Cluster) proto.Message { return c }),
+	of(ads.Cluster, baseCluster, func(c *clusterv3.Cluster) proto.Message { return c.EdsClusterConfig }),
+	of(ads.Cluster, baseCluster, func(c *clusterv3.Cluster) proto.Message { return c.CommonLbConfig }),
+	of(ads.Cluster, baseCluster, func(c *clusterv3.Cluster) proto.Message { return c.CircuitBreakers.Thresholds[0] }),
+	of(ads.Endpoint, baseAssignment, func(a assignment) proto.Message { return a }),
+	of(ads.Endpoint, baseAssignment, func(a assignment) proto.Message { return a.Policy }),
+	of(ads.Endpoint, baseAssignment, func(a assignment) proto.Message { return a.Policy.DropOverloads[0] }),
+	of(ads.Endpoint, baseAssignment, func(a assignment) proto.Message { return a.Endpoints[0] }),
+	of(ads.Endpoint, baseAssignment, func(a assignment) proto.Message { return a.Endpoints[0].LbEndpoints[0] }),
+	of(ads.Endpoint, baseAssignment, func(a assignment) proto.Message { return a.Endpoints[0].LbEndpoints[0].GetEndpoint() }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return c }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return c.VirtualHosts[0] }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return routeOf(c) }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return routeOf(c).Match }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return routeOf(c).Match.Headers[0] }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return routeOf(c).GetRoute() }),
+	of(ads.Route, func() routes { return baseRoute(plainAction()) }, func(c routes) proto.Message { return routeOf(c).GetRoute().RetryPolicy }),
+	of(ads.Route, func() routes { return baseRoute(weighted()) }, func(c routes) proto.Message { return routeOf(c).GetRoute().GetWeightedClusters() }),
+	of(ads.Route, func() routes { return baseRoute(weighted()) }, func(c routes) proto.Message { return routeOf(c).GetRoute().GetWeightedClusters().Clusters[0] }),
+	of(ads.Route, func() routes { return baseRoute(&routev3.RedirectAction{}) }, func(c routes) proto.Message { return routeOf(c).GetRedirect() }),
+	of(ads.Route, func() routes { return baseRoute(&routev3.DirectResponseAction{Status: 404}) }, func(c routes) proto.Message { return routeOf(c).GetDirectResponse() }),
+	of(ads.Listener, func() *listenerv3.Listener { return listenerOf(manager()) }, func(l *listenerv3.Listener) proto.Message { return l }),
+	{ads.Listener, func() (func() proto.Message, proto.Message) {
+		m := manager()
+		return func() proto.Message { return listenerOf(m) }, m
+	}},
+}
+
+// examples set fields that a made-up value says nothing with.
+var examples = map[string]func(proto.Message){
+	"Cluster.load_assignment": func(m proto.Message) {
+		c := m.(*clusterv3.Cluster)
+		c.ClusterDiscoveryType, c.LoadAssignment = &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, baseAssignment()
+	},
+	"Cluster.eds_cluster_config": func(m proto.Message) {
+		m.(*clusterv3.Cluster).EdsClusterConfig = &clusterv3.Cluster_EdsClusterConfig{ServiceName: "s"}
+	},
+	"Cluster.common_lb_config": func(m proto.Message) {
+		m.(*clusterv3.Cluster).CommonLbConfig.LocalityConfigSpecifier = &clusterv3.Cluster_CommonLbConfig_LocalityWeightedLbConfig_{}
+		m.(*clusterv3.Cluster).CommonLbConfig.LocalityConfigSpecifier.(*clusterv3.Cluster_CommonLbConfig_LocalityWeightedLbConfig_).LocalityWeightedLbConfig = &clusterv3.Cluster_CommonLbConfig_LocalityWeightedLbConfig{}
+	},
+	"Cluster.connect_timeout":    func(m proto.Message) { m.(*clusterv3.Cluster).ConnectTimeout = durationpb.New(time.Second) },
+	"Thresholds.max_connections": func(m proto.Message) { m.(*clusterv3.CircuitBreakers_Thresholds).MaxConnections = wrapperspb.UInt32(3) },
+	"Thresholds.max_pending_requests": func(m proto.Message) {
+		m.(*clusterv3.CircuitBreakers_Thresholds).MaxPendingRequests = wrapperspb.UInt32(3)
+	},
+	"Thresholds.max_retries":          func(m proto.Message) { m.(*clusterv3.CircuitBreakers_Thresholds).MaxRetries = wrapperspb.UInt32(3) },
+	"ClusterLoadAssignment.endpoints": func(m proto.Message) { m.(assignment).Endpoints = nil },
+	"LocalityLbEndpoints.load_balancing_weight": func(m proto.Message) {
+		m.(*endpointv3.LocalityLbEndpoints).LoadBalancingWeight = wrapperspb.UInt32(3)
+	},
+	"LbEndpoint.health_status":         func(m proto.Message) { m.(*endpointv3.LbEndpoint).HealthStatus = corev3.HealthStatus_DRAINING },
+	"LbEndpoint.load_balancing_weight": func(m proto.Message) { m.(*endpointv3.LbEndpoint).LoadBalancingWeight = wrapperspb.UInt32(3) },
+	"LbEndpoint.metadata":              func(m proto.Message) { m.(*endpointv3.LbEndpoint).Metadata = own("id", "app-1") },
+	"RouteConfiguration.metadata":      func(m proto.Message) { m.(routes).Metadata = own("class", "pay") },
+	"VirtualHost.retry_policy": func(m proto.Message) {
+		v := m.(*routev3.VirtualHost)
+		v.Routes[0].GetRoute().RetryPolicy, v.RetryPolicy = nil, &routev3.RetryPolicy{RetryOn: "5xx", NumRetries: wrapperspb.UInt32(7)}
+	},
+	"VirtualHost.metadata": func(m proto.Message) { m.(*routev3.VirtualHost).Metadata = own("class", "pay") },
+	"Route.metadata":       func(m proto.Message) { m.(*routev3.Route).Metadata = own("class", "pay") },
+	"RouteMatch.path_match_policy": func(m proto.Message) {
+		m.(*routev3.RouteMatch).PathSpecifier = &routev3.RouteMatch_PathMatchPolicy{PathMatchPolicy: &corev3.TypedExtensionConfig{
+			TypedConfig: pack(&uriv3.UriTemplateMatchConfig{PathTemplate: "/a/{b}"}),
+		}}
+	},
+	"RouteMatch.case_sensitive": func(m proto.Message) { m.(*routev3.RouteMatch).CaseSensitive = wrapperspb.Bool(false) },
+	"HeaderMatcher.present_match": func(m proto.Message) {
+		m.(*routev3.HeaderMatcher).HeaderMatchSpecifier = &routev3.HeaderMatcher_PresentMatch{}
+	},
+	"HeaderMatcher.string_match": func(m proto.Message) {
+		m.(*routev3.HeaderMatcher).HeaderMatchSpecifier = &routev3.HeaderMatcher_StringMatch{StringMatch: &matcherv3.StringMatcher{
+			MatchPattern: &matcherv3.StringMatcher_Suffix{Suffix: "z"}, IgnoreCase: true,
+		}}
+	},
+	"RouteAction.timeout":         func(m proto.Message) { m.(*routev3.RouteAction).Timeout = durationpb.New(time.Second) },
+	"RetryPolicy.num_retries":     func(m proto.Message) { m.(*routev3.RetryPolicy).NumRetries = wrapperspb.UInt32(7) },
+	"RetryPolicy.per_try_timeout": func(m proto.Message) { m.(*routev3.RetryPolicy).PerTryTimeout = durationpb.New(time.Second) },
+	"DirectResponseAction.body": func(m proto.Message) {
+		m.(*routev3.DirectResponseAction).Body = &corev3.DataSource{Specifier: &corev3.DataSource_InlineString{InlineString: "no"}}
+	},
+	"Listener.filter_chains": func(m proto.Message) {
+		l := m.(*listenerv3.Listener)
+		l.ApiListener = nil
+		x := manager()
+		x.GetRds().RouteConfigName = "other"
+		l.FilterChains = []*listenerv3.FilterChain{{Filters: []*listenerv3.Filter{{ConfigType: &listenerv3.Filter_TypedConfig{TypedConfig: pack(x)}}}}}
+	},
+	"Listener.default_filter_chain": func(m proto.Message) {
+		x := manager()
+		x.GetRds().RouteConfigName = "other"
+		m.(*listenerv3.Listener).DefaultFilterChain = &listenerv3.FilterChain{Filters: []*listenerv3.Filter{{ConfigType: &listenerv3.Filter_TypedConfig{TypedConfig: pack(x)}}}}
+	},
+}
+
+// made sets a field to something, or clears it where it is set.
+func made(m protoreflect.Message, f protoreflect.FieldDescriptor) {
+	scalar := func() protoreflect.Value {
+		switch f.Kind() {
+		case protoreflect.BoolKind:
+			return protoreflect.ValueOfBool(true)
+		case protoreflect.StringKind:
+			return protoreflect.ValueOfString("x")
+		case protoreflect.BytesKind:
+			return protoreflect.ValueOfBytes([]byte("x"))
+		case protoreflect.EnumKind:
+			return protoreflect.ValueOfEnum(1)
+		case protoreflect.Uint64Kind:
+			return protoreflect.ValueOfUint64(1)
+		case protoreflect.Int32Kind, protoreflect.Sint32Kind:
+			return protoreflect.ValueOfInt32(1)
+		case protoreflect.Int64Kind:
+			return protoreflect.ValueOfInt64(1)
+		case protoreflect.DoubleKind:
+			return protoreflect.ValueOfFloat64(1)
+		}
+		return protoreflect.ValueOfUint32(1)
+	}
+	switch {
+	case m.Has(f):
+		m.Clear(f)
+	case f.IsMap():
+		v := m.Mutable(f).Map()
+		if f.MapValue().Kind() == protoreflect.MessageKind {
+			v.Set(protoreflect.ValueOfString("x").MapKey(), v.NewValue())
+		} else {
+			v.Set(protoreflect.ValueOfString("x").MapKey(), protoreflect.ValueOfString("x"))
+		}
+	case f.IsList() && f.Kind() == protoreflect.MessageKind:
+		m.Mutable(f).List().AppendMutable()
+	case f.IsList():
+		m.Mutable(f).List().Append(scalar())
+	case f.Kind() == protoreflect.MessageKind:
+		m.Mutable(f)
+	default:
+		m.Set(f, scalar())
+	}
+}
+
+var tableRow = regexp.MustCompile("^\\| ((?:`[a-z0-9_]+`(?:, )?)+) \\| (honoured|mapped|ignored|refused) \\|")
+
+// docs/xds-fields.md names each field once, and says of it what the code does.
+func TestFieldTable(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/xds-fields.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	here := map[string]map[string]string{}
+	message := ""
+	for line := range strings.Lines(string(text)) {
+		if name, ok := strings.CutPrefix(line, "## "); ok {
+			message = strings.TrimSpace(name)
+			here[message] = map[string]string{}
+		}
+		if m := tableRow.FindStringSubmatch(line); m != nil {
+			for _, f := range strings.Split(m[1], ", ") {
+				f = strings.Trim(f, "`")
+				if here[message][f] != "" {
+					t.Errorf("%s.%s stands there twice", message, f)
+				}
+				here[message][f] = m[2]
+			}
+		}
+	}
+	used := 0
+	for _, s := range subjects {
+		whole, part := s.make()
+		d := part.ProtoReflect().Descriptor()
+		baseName, base, err := options.Decode(s.t, pack(whole()))
+		if err != nil {
+			t.Fatalf("%s: the example is refused: %v", d.FullName(), err)
+		}
+		rows := here[string(d.FullName())]
+		for i := range d.Fields().Len() {
+			f := d.Fields().Get(i)
+			short := fmt.Sprintf("%s.%s", d.Name(), f.Name())
+			whole, part := s.make()
+			if set := examples[short]; set != nil {
+				used++
+				set(part)
+			} else {
+				made(part.ProtoReflect(), f)
+			}
+			name, got, err := options.Decode(s.t, pack(whole()))
+			same := err == nil && name == baseName && reflect.DeepEqual(got, base)
+			switch kind := rows[string(f.Name())]; {
+			case kind == "":
+				t.Errorf("%s.%s is missing", d.FullName(), f.Name())
+			case kind == "ignored" && !same:
+				t.Errorf("%s is ignored, but: %v", short, err)
+			case kind == "refused" && (err == nil || !strings.Contains(err.Error(), string(f.Name()))):
+				t.Errorf("%s is refused, but: %v", short, err)
+			case (kind == "honoured" || kind == "mapped") && same:
+				t.Errorf("%s is %s, but nothing changes", short, kind)
+			}
+			delete(rows, string(f.Name()))
+		}
+		if len(rows) > 0 {
+			t.Errorf("%s has no %v", d.FullName(), rows)
+		}
+		delete(here, string(d.FullName()))
+	}
+	if len(here) > 0 || used != len(examples) {
+		t.Errorf("messages that are not looked at: %v; %d of %d examples used", here, used, len(examples))
+	}
+}
+
+// FuzzDecode: whatever the bytes are, a resource is taken or refused with a reason.
+func FuzzDecode(f *testing.F) {
+	for _, s := range subjects {
+		whole, _ := s.make()
+		f.Add(int(s.t), pack(whole()).Value)
+	}
+	f.Fuzz(func(t *testing.T, kind int, body []byte) {
+		which := ads.Type(uint(kind) % uint(ads.Types))
+		name, value, err := options.Decode(which, &anypb.Any{TypeUrl: which.URL(), Value: body})
+		if err != nil {
+			if strings.Contains(err.Error(), "can't be read") {
+				t.Fatalf("a panic: %v", err)
+			}
+			return
+		}
+		switch v := value.(type) {
+		case *Cluster:
+			if v.Name != name {
+				t.Fatalf("%q, %q", v.Name, name)
+			}
+			if v.Static != nil {
+				if err := v.Build(v.Static).Check(nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+		case *Assignment:
+			for _, weighted := range []bool{false, true} {
+				c := Cluster{Name: "c", LocalityWeighted: weighted}
+				if err := c.Build(v).Check(nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+		case *Routes:
+			v.Table.Clusters()
+		}
+	})
+}
