--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -22,6 +23,8 @@
 	"yokestall/internal/cluster"
 	"yokestall/internal/files"
 	"yokestall/internal/standin/appbox"
+	"yokestall/internal/standin/controlplane"
+	"yokestall/internal/xds"
 )
 
 // drainRule is how long after word of a drain nothing new may reach a server.
@@ -39,6 +42,9 @@
 	Slack time.Duration
 	// Keep has the program serve on until the context ends, with no more load.
 	Keep bool
+	// XDS has clusters, endpoints and routes come from a stand-in control plane, as the
+	// example set in xDS form has them, in place of the program's files.
+	XDS bool
 }
 
 // Result counts a demo's final answers and what the boxes saw.
@@ -118,7 +124,8 @@
 	app    *app.App
 	url    string
 
-	versions chan *files.Snapshot
+	versions chan struct{} // one for each version taken
+	plane    *controlplane.Plane
 	drained  map[string]time.Time // box name to when the program had been told
 
 	mu     sync.Mutex
@@ -131,7 +138,7 @@
 // the result.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	s := &show{
-		Options: o, versions: make(chan *files.Snapshot, 16),
+		Options: o, versions: make(chan struct{}, 1024),
 		drained: map[string]time.Time{}, strays: map[string]int{},
 	}
 	if s.Slack == 0 {
@@ -155,7 +162,16 @@
 	if err := os.Mkdir(filepath.Join(folder, "clusters"), 0o755); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(s.config(), []byte(program), 0o644); err != nil {
+	text := program
+	if o.XDS {
+		if s.plane, err = controlplane.Start(); err != nil {
+			return nil, err
+		}
+		defer s.plane.Down()
+		text = program[:strings.Index(program, "[[class]]\nname = \"payment\"")] + fmt.Sprintf(
+			"[xds]\nservers = [%q]\nnode_id = \"demo\"\nlistener = \"ingress\"\n", s.plane.Addr())
+	}
+	if err := os.WriteFile(s.config(), []byte(text), 0o644); err != nil {
 		return nil, err
 	}
 	if err := s.write(nil); err != nil {
@@ -180,19 +196,43 @@
 	defer stop()
 	served := make(chan error, 1)
 	parts.Go(func() { served <- s.app.Serve(running, l) })
+	source := app.NewSource(s.app, first)
+	told := func() {
+		select {
+		case s.versions <- struct{}{}:
+		default:
+		}
+	}
 	parts.Go(func() {
 		watcher.Run(running, func(v *files.Snapshot) {
-			if err := s.app.Take(v); err != nil {
-				o.Log.Error("a version is not taken", "err", err)
-				return
-			}
-			select {
-			case s.versions <- v:
-			case <-running.Done():
-			}
+			source.Files(v)
+			told()
 		})
 	})
-	fmt.Fprintf(o.Out, "%d app boxes behind %s; the files are in %s\n\n", o.Boxes, s.url, folder)
+	fmt.Fprintf(o.Out, "%d app boxes behind %s; the files are in %s\n", o.Boxes, s.url, folder)
+	if c := app.XDSConfig(first.Program, s.config()); c != nil {
+		whole := make(chan struct{})
+		var once sync.Once
+		client := xds.New(*c, o.Log)
+		parts.Go(func() {
+			client.Run(running, func(d *xds.Delivery) {
+				source.Deliver(d)
+				told()
+				if d.View.Routes() != nil && len(d.View.Clusters()) > 0 {
+					once.Do(func() { close(whole) })
+				}
+			})
+		})
+		select {
+		case <-whole:
+		case <-time.After(10 * time.Second):
+			return nil, errors.New("no version came from the control plane in 10 s")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		fmt.Fprintf(o.Out, "clusters, endpoints and routes come from a control plane at %s\n", s.plane.Addr())
+	}
+	fmt.Fprintln(o.Out)
 	if err := s.play(ctx); err != nil {
 		return nil, err
 	}
@@ -216,6 +256,12 @@
 
 // write puts a version of the cluster file in place, whole.
 func (s *show) write(health map[string]string) error {
+	for len(s.versions) > 0 { // what is taken from now on may be this one
+		<-s.versions
+	}
+	if s.plane != nil {
+		return s.push(health)
+	}
 	var b bytes.Buffer
 	b.WriteString("[cluster]\nname = \"rooms\"\n\n")
 	for _, box := range s.boxes {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -15,21 +15,26 @@
 
 // The demo, in short: every phase is shown, the rules hold, and it ends by itself.
 func TestDemo(t *testing.T) {
-	var out bytes.Buffer
-	r, err := Run(t.Context(), Options{
-		Out: &out, Log: testkit.Log(t), Boxes: 4, Clients: 6, Phase: 300 * time.Millisecond,
-		Slack: testkit.Patience, // that an answer is in time is held in the engine, on its own clock
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(r.Broken) > 0 || r.Served == 0 || r.Reached == 0 {
-		t.Errorf("%+v\n%s", r, out.String())
-	}
-	for _, text := range []string{"box-2 drains", "box-3 dies", "is back", "Rules kept", "demo --keep"} {
-		if !strings.Contains(out.String(), text) {
-			t.Errorf("%q is not shown in\n%s", text, out.String())
-		}
+	for name, xds := range map[string]bool{"files": false, "xds": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			r, err := Run(t.Context(), Options{
+				Out: &out, Log: testkit.Log(t), Boxes: 4, Clients: 6, Phase: 300 * time.Millisecond, XDS: xds,
+				Slack: testkit.Patience, // that an answer is in time is held in the engine, on its own clock
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Broken) > 0 || r.Served == 0 || r.Reached == 0 {
+				t.Errorf("%+v\n%s", r, out.String())
+			}
+			for _, text := range []string{"box-2 drains", "box-3 dies", "is back", "Rules kept", "demo --keep"} {
+				if !strings.Contains(out.String(), text) {
+					t.Errorf("%q is not shown in\n%s", text, out.String())
+				}
+			}
+		})
 	}
 }
 
--- a/internal/xds/xdsfile/xdsfile.go
+++ b/internal/xds/xdsfile/xdsfile.go
@@ -75,6 +75,30 @@
 	return v, nil
 }
 
+// Resources gives the resources of a file in their own messages, by name.
+func Resources(f config.File) (map[string]proto.Message, error) {
+	list, err := resources(f, nil)
+	if err != nil {
+		return nil, &cluster.Problem{Source: f.Name, Text: err.Error()}
+	}
+	out := map[string]proto.Message{}
+	for _, body := range list {
+		m, err := body.UnmarshalNew()
+		if err != nil {
+			return nil, &cluster.Problem{Source: f.Name, Text: err.Error()}
+		}
+		name := ""
+		switch m := m.(type) {
+		case interface{ GetName() string }:
+			name = m.GetName()
+		case interface{ GetClusterName() string }:
+			name = m.GetClusterName()
+		}
+		out[name] = m
+	}
+	return out, nil
+}
+
 // Check checks files by themselves: classes that routes name, and clusters and endpoints
 // that resources refer to, may stand elsewhere.
 func Check(files []config.File) error {
