Hold bounds of clusters and routes by tests: drops, open requests, retries, tries

Change: tests of the bounds in engine and app, of news delivered earlier, of a reused address, of the folder in xDS form.

--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -237,6 +237,69 @@
 	}
 }
 
+// A new endpoint at the address of one that has gone is another server, with nothing of
+// the former one's.
+func TestAddressReused(t *testing.T) {
+	b := testkit.Box(t, "b")
+	log := &sends{names: map[uint64]string{}}
+	p := parse(t, program)
+	named := func(id string) *files.Snapshot {
+		e := cluster.Endpoint{ID: id, Address: b.Addr(), Weight: 1}
+		log.names[e.Key()] = id
+		return snapshot(p, rooms(e))
+	}
+	first, second := named("old"), named("new")
+	s := serveWith(t, first, Options{Seed: 1, Log: testkit.Log(t), Sent: log.note})
+	for i, v := range []*files.Snapshot{first, second} {
+		if err := s.app.Take(v); err != nil {
+			t.Fatal(err)
+		}
+		if status, _, _ := s.get("/x", ""); status != 200 || log.list[i].server != []string{"old", "new"}[i] {
+			t.Errorf("status %d, sent to %v", status, log.list)
+		}
+	}
+}
+
+// A cluster's bounds: what is dropped by share or is more than may be open is refused at
+// once, with the time to come back, and reaches no server.
+func TestBounds(t *testing.T) {
+	b := testkit.Box(t, "b")
+	p := parse(t, program)
+	held := func(bounds cluster.Bounds) *files.Snapshot {
+		c := rooms(at(b))
+		c.Bounds = bounds
+		return snapshot(p, c)
+	}
+	s := serve(t, held(cluster.Bounds{Drops: []cluster.Drop{{Category: "all", Share: 1}}}))
+	refused := func(what string) {
+		t.Helper()
+		if status, header, _ := s.get("/x", ""); status != 503 || header.Get("Retry-After") != "0.600" {
+			t.Errorf("%s: status %d, %v", what, status, header)
+		}
+	}
+	refused("dropped")
+	if b.Count() != 0 {
+		t.Error("what is dropped reached a server")
+	}
+	if err := s.app.Take(held(cluster.Bounds{MaxRequests: 1})); err != nil {
+		t.Fatal(err)
+	}
+	b.SetDelay(300 * time.Millisecond)
+	first := make(chan int, 1)
+	go func() {
+		status, _, _ := s.get("/x", "")
+		first <- status
+	}()
+	testkit.Until(t, "the first to be out", func() bool { return b.Count() > 0 })
+	refused("the second one at once")
+	if status := testkit.Wait(t, first, "the first"); status != 200 {
+		t.Errorf("the first: status %d", status)
+	}
+	if status, _, _ := s.get("/x", ""); status != 200 {
+		t.Errorf("with none open: status %d", status)
+	}
+}
+
 // A thousand versions, also such that start every cluster anew, leave no memory,
 // goroutine or descriptor behind.
 func TestThousandVersions(t *testing.T) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -41,6 +41,11 @@
 	if !errors.Is(err, ErrReported) || !strings.HasPrefix(out, bad+":") || !strings.Contains(out, "attempts: 0 is not from 1 to 16") {
 		t.Errorf("%q, %v", out, err)
 	}
+	for _, name := range []string{"clusters", "endpoints", "routes"} {
+		if out, err := run(t, "check", filepath.Join("..", "..", "deploy", "xds", name+".yaml")); err != nil {
+			t.Errorf("the example in xDS form: %q, %v", out, err)
+		}
+	}
 	// A cluster file alone is checked as such.
 	rooms := filepath.Join("..", "..", "deploy", "clusters", "rooms.toml")
 	if out, err := run(t, "check", rooms); err != nil || out != "" {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -163,6 +163,101 @@
 	}
 }
 
+// News counts from its delivery: what was delivered a grace ago bars sends at once.
+func TestNewsDeliveredEarlier(t *testing.T) {
+	waiting, connected, began := make(chan *Call, 4), make(chan struct{}), make(chan bool, 4)
+	c := start(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
+		waiting <- call
+		<-connected
+		began <- call.Begin()
+		return Result{Status: policy.Moot}
+	}), 1)
+	go c.Do(t.Context(), c.request(2, testkit.Patience))
+	<-waiting
+	c.MembersAt(c.clock.Now()-DrainGrace, policy.ListDelta, []policy.Entry{{Server: 1, State: policy.Draining}})
+	close(connected)
+	if <-began {
+		t.Error("a send a grace after the delivery")
+	}
+}
+
+// A request's own limits hold within the cluster's: attempts, the time of each, and how
+// many retries may be out at once.
+func TestLimitsOfARequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempts, retries int
+		perTry            time.Duration
+		status            policy.Status // of each attempt; Timeout: it never comes back
+		sends             int64
+	}{
+		"the cluster's":    {0, 0, 0, policy.ConnectFailed, 3},
+		"one attempt":      {1, 0, 0, policy.ConnectFailed, 1},
+		"two attempts":     {2, 0, 0, policy.ConnectFailed, 2},
+		"time of each one": {2, 0, 20 * time.Millisecond, policy.Timeout, 2},
+		"retries in turn":  {0, 1, 0, policy.ConnectFailed, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int64
+			cl := start(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
+				if !call.Begin() {
+					return Result{Status: policy.Moot}
+				}
+				sends.Add(1)
+				if c.status == policy.Timeout {
+					<-call.Context().Done()
+				}
+				return Result{Status: c.status}
+			}), 1, 2, 3, 4)
+			cl.LimitRetries(c.retries)
+			r := cl.request(0, 3*time.Second)
+			r.MaxAttempts, r.PerTry = c.attempts, c.perTry
+			if a, err := cl.Do(t.Context(), r); err != nil || a.Verdict == Served || sends.Load() != c.sends {
+				t.Errorf("%+v, %v after %d sends, want %d", a, err, sends.Load(), c.sends)
+			}
+		})
+	}
+}
+
+// More retries at once than the limit are not sent.
+func TestRetriesAtOnce(t *testing.T) {
+	const requests, limit = 12, 2
+	var out, most, retried atomic.Int64
+	var mu sync.Mutex
+	seen := map[any]bool{}
+	c := start(t, exchange(func(call *Call, _ policy.ServerID, payload any, _ time.Duration) Result {
+		if !call.Begin() {
+			return Result{Status: policy.Moot}
+		}
+		mu.Lock()
+		first := !seen[payload]
+		seen[payload] = true
+		mu.Unlock()
+		if first {
+			return Result{Status: policy.ConnectFailed}
+		}
+		retried.Add(1)
+		if n := out.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		<-call.Context().Done() // until the request's end
+		out.Add(-1)
+		return Result{Status: policy.Reset}
+	}), members(40)...)
+	c.LimitRetries(limit)
+	var all sync.WaitGroup
+	for i := range requests {
+		all.Go(func() {
+			r := c.request(1, 500*time.Millisecond)
+			r.Payload = i
+			c.Do(t.Context(), r)
+		})
+	}
+	all.Wait()
+	if most.Load() > limit || retried.Load() == 0 {
+		t.Errorf("%d retries, %d at once", retried.Load(), most.Load())
+	}
+}
+
 // Within the grace, and to a server that stays, sends go on.
 func TestDrainLeavesOthers(t *testing.T) {
 	c := start(t, exchange(served), 1, 2)
--- a/internal/files/files_test.go
+++ b/internal/files/files_test.go
@@ -309,6 +309,48 @@
 	})
 }
 
+// Files in xDS form are taken with the others, whole or not at all.
+func TestXDSFolder(t *testing.T) {
+	f := newFolder(t)
+	folder := filepath.Join(filepath.Dir(f.path), "xds")
+	if err := os.Mkdir(folder, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	f.put(f.path, strings.Replace(program[:strings.Index(program, "[[host]]")], "[[class]]", "[xds]\nfolder = \"xds\"\nclass = \"read\"\n[[class]]", 1))
+	const routes = `{"@type": "type.googleapis.com/envoy.config.route.v3.RouteConfiguration", "name": "main",
+		"virtual_hosts": [{"name": "v", "domains": ["*"], "routes": [{"match": {"prefix": "/"}, "route": {"cluster": "suites"}}]}]}`
+	suites := func(port int) string {
+		return fmt.Sprintf("\"@type\": type.googleapis.com/envoy.config.cluster.v3.Cluster\nname: suites\ntype: STATIC\nload_assignment:\n"+
+			"  endpoints:\n  - lb_endpoints:\n    - endpoint: {address: {socket_address: {address: 127.0.0.1, port_value: %d}}}\n", port)
+	}
+	file := filepath.Join(folder, "suites.yaml")
+	f.put(filepath.Join(folder, "routes.json"), routes)
+	f.put(file, suites(1)+"...\n")
+	first := f.watch()
+	if c := first.Version.Clusters["suites"]; c == nil || c.Endpoints[0].Address != "127.0.0.1:1" || first.Version.Clusters["rooms"] == nil {
+		t.Errorf("first %+v", first.Version.Clusters)
+	}
+	if got := first.Program.Table.Clusters(); len(got) != 1 || got[0] != "suites" {
+		t.Errorf("routes lead to %v", got)
+	}
+	f.put(file, suites(2)) // as half of a longer one may look
+	f.logged("suites.yaml: is not whole")
+	f.polls(2)
+	if len(f.got) > 0 {
+		t.Error("a part is taken for the whole")
+	}
+	if err := Check(file); err == nil || !strings.Contains(err.Error(), "is not whole") {
+		t.Errorf("check says %v", err)
+	}
+	f.put(file, suites(3)+"...\n")
+	if c := f.next().Version.Clusters["suites"]; c.Endpoints[0].Address != "127.0.0.1:3" {
+		t.Errorf("then %+v", c)
+	}
+	if err := Check(file); err != nil {
+		t.Errorf("check says %v", err)
+	}
+}
+
 func TestMeant(t *testing.T) {
 	f := newFolder(t)
 	f.watch()
