--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -220,7 +220,7 @@
 
 // More retries at once than the limit are not sent.
 func TestRetriesAtOnce(t *testing.T) {
-	const requests, limit = 12, 2
+	const requests, limit = 4, 1
 	var out, most, retried atomic.Int64
 	var mu sync.Mutex
 	seen := map[any]bool{}
@@ -247,7 +247,7 @@
 	var all sync.WaitGroup
 	for i := range requests {
 		all.Go(func() {
-			r := c.request(1, 500*time.Millisecond)
+			r := c.request(0, 2*time.Second)
 			r.Payload = i
 			c.Do(t.Context(), r)
 		})
