Forget what no route leads to, and refuse routes whose class is gone

A control plane followed by name left clusters and route configurations behind that nobody follows; a class taken out of the program's file would have ended a request in a panic; a tier that goes was drained before requests saw the new ones.

Change: state prunes what is not asked for on; Program.Routed checks classes; the order of a tier's end.

--- a/internal/app/running.go
+++ b/internal/app/running.go
@@ -144,22 +144,17 @@
 		used[t] = true
 		next.list = append(next.list, t)
 	}
-	before := r.now.Load()
 	r.bound(&next.bounds)
-	// Word of a drain goes first, and the requests that come from now on see the new
-	// tiers; those that saw the old ones find there what is left.
-	for k, t := range r.all {
-		if !used[t] {
-			delete(r.all, k)
-			t.cluster.MembersAt(told, policy.ListFull, nil)
-		}
-	}
 	for i, t := range next.list {
 		t.tell(r.app.clock, told, next.plan.Tiers[i].Cluster)
 	}
+	// Requests see the new tiers before the others lose their servers, or some would be
+	// refused in between.
 	r.now.Store(next)
-	for _, t := range before.list {
+	for k, t := range r.all {
 		if !used[t] {
+			delete(r.all, k)
+			t.cluster.MembersAt(told, policy.ListFull, nil)
 			t.cluster.Retire()
 		}
 	}
--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -85,7 +85,12 @@
 		maps.Copy(all, s.files.Version.Clusters)
 		next.Version = &cluster.Version{Number: s.files.Version.Number, Clusters: all}
 		if r := s.routes; r != nil {
-			next.Program = next.Program.Routed(r.Table, r.Hosts, r.Classes, r.Tenants)
+			p, err := next.Program.Routed(r.Table, r.Hosts, r.Classes, r.Tenants)
+			if err != nil { // a class that the file no longer has
+				s.app.Log.Error("the routes of the control plane don't go with the program's file; the last version stays", "err", err)
+				return
+			}
+			next.Program = p
 		}
 	}
 	if err := s.app.TakeAt(at, next); err != nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,12 +10,14 @@
 	"math/rand/v2"
 	"net"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"yokestall/internal/app"
+	"yokestall/internal/config"
 	"yokestall/internal/demo"
 	"yokestall/internal/files"
 	"yokestall/internal/xds"
@@ -86,8 +88,9 @@
 	watch.Go(func() {
 		watcher.Run(ctx, func(s *files.Snapshot) {
 			source.Files(s)
-			if !reflect.DeepEqual(s.Program.XDS, first.Program.XDS) {
-				log.Warn("a change of [xds] wants a restart")
+			if x := &first.Program.XDS; !reflect.DeepEqual(s.Program.XDS, *x) ||
+				len(x.Servers) > 0 && !slices.EqualFunc(s.Program.Classes, first.Program.Classes, func(a, b config.Class) bool { return a.Name == b.Name }) {
+				log.Warn("a change of [xds], or of the classes' names with a control plane, wants a restart")
 			}
 			if s.Program.Listener.Address != address {
 				log.Warn("another listen address wants a restart", "addr", s.Program.Listener.Address)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,9 +104,10 @@
 // Routed gives the program with routes, and classes beside its own, from elsewhere;
 // tenants replace its own if there are any. The program's own routes go first: with some,
 // it is given back as it is.
-func (p *Program) Routed(table *route.Table, hosts []route.VirtualHost, classes []Class, tenants []Tenant) *Program {
+// A route whose class is not known is an error.
+func (p *Program) Routed(table *route.Table, hosts []route.VirtualHost, classes []Class, tenants []Tenant) (*Program, error) {
 	if len(p.Hosts) > 0 {
-		return p
+		return p, nil
 	}
 	out := *p
 	out.Hosts, out.Table = hosts, table
@@ -114,7 +115,18 @@
 	if len(tenants) > 0 {
 		out.Tenants = tenants
 	}
-	return &out
+	known := map[string]bool{}
+	for _, c := range out.Classes {
+		known[c.Name] = true
+	}
+	for i := range hosts {
+		for j := range hosts[i].Routes {
+			if r := &hosts[i].Routes[j]; r.Answer == nil && !known[r.Class] {
+				return nil, fmt.Errorf("virtual host %s: route %s: class %q is not known", hosts[i].Name, r.Name, r.Class)
+			}
+		}
+	}
+	return &out, nil
 }
 
 // Class gives the index of a class, -1 if there is none of the name.
--- a/internal/files/files.go
+++ b/internal/files/files.go
@@ -111,7 +111,9 @@
 		clusters[name] = c
 	}
 	if v := view.Routes; v != nil {
-		s.Program = r.parsed.Routed(v.Table, v.Hosts, v.Classes, v.Tenants)
+		if s.Program, err = r.parsed.Routed(v.Table, v.Hosts, v.Classes, v.Tenants); err != nil {
+			return nil, err
+		}
 	}
 	return s, nil
 }
--- a/internal/xds/keep.go
+++ b/internal/xds/keep.go
@@ -91,7 +91,9 @@
 		version, versions := m.Versions(t)
 		out.Resources = append(out.Resources, &discoveryv3.Resource{Name: t.URL(), Version: version})
 		for name, r := range k.resources[t] {
-			if _, known := versions[name]; known && r.Body != nil {
+			if _, known := versions[name]; !known {
+				delete(k.resources[t], name) // not asked for any more
+			} else if r.Body != nil {
 				out.Resources = append(out.Resources, &discoveryv3.Resource{Name: name, Version: r.Version, Resource: r.Body})
 			}
 		}
--- a/internal/xds/state/state.go
+++ b/internal/xds/state/state.go
@@ -125,7 +125,11 @@
 // Apply takes an update of now. Its cost goes by what the update holds.
 func (s *State) Apply(now time.Time, u *ads.Update) (c Change) {
 	s.moved = u.Type == ads.Listener || u.Type == ads.Route
-	defer func() { c.Wanted = s.moved }()
+	defer func() {
+		if c.Wanted = s.moved; s.moved {
+			s.prune(&c)
+		}
+	}()
 	switch u.Type {
 	case ads.Listener:
 		for _, x := range u.Set {
@@ -166,6 +170,24 @@
 	return c
 }
 
+// prune forgets what is not wanted any more and is not asked for on: nobody would tell
+// of its changes.
+func (s *State) prune(out *Change) {
+	if s.options.Listener != "" || s.options.Route != "" {
+		wanted := s.Wanted(ads.Route)
+		maps.DeleteFunc(s.routes, func(name string, _ *translate.Routes) bool { return !slices.Contains(wanted, name) })
+	}
+	if !s.options.Named {
+		return
+	}
+	wanted := s.Wanted(ads.Cluster)
+	for name := range s.clusters {
+		if _, ok := slices.BinarySearch(wanted, name); !ok {
+			s.undefine(name, out)
+		}
+	}
+}
+
 // follow puts the routes in force that the options lead to; true if they changed. Routes
 // that have not come leave the present ones, unless those were taken away.
 func (s *State) follow(removed bool) bool {
--- a/internal/xds/state/state_test.go
+++ b/internal/xds/state/state_test.go
@@ -137,7 +137,13 @@
 	if s.Routes() != two || !slices.Equal(s.Wanted(ads.Cluster), []string{"b", "c"}) {
 		t.Error("the new routes are not in force")
 	}
+	for _, name := range []string{"b", "c"} {
+		s.Apply(at, set(ads.Cluster, name, &translate.Cluster{Name: name, Static: ends("", cluster.Endpoint{ID: "e"})}))
+	}
 	s.Apply(at, set(ads.Listener, "l", &translate.Listener{Inline: inline}))
+	if len(s.clusters)+len(s.routes)+len(s.Clusters()) != 0 {
+		t.Errorf("what no route leads to is remembered: %v, %v", s.clusters, s.routes)
+	}
 	if s.Routes() != inline {
 		t.Error("the inline routes are not in force")
 	}
