Pass on what a server said last, carry HEAD, blame no server for large answers

A server's own 500 reached the client as a bare 503; HEAD got 405; a page over 64 KiB was booked as its server's failure and opened a healthy server's breaker.

Change: a result that was not served may come with the server's answer, which the request's end gives to the client; the answer to HEAD has a length and no body; what is too large is a 502 with its reason.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -55,7 +55,9 @@
 // Result is how one attempt ended, and the answer if it was served.
 type Result struct {
 	Status policy.Status
-	Answer any // for policy.OK
+	// Answer is the server's. With another status than policy.OK it is what the client gets
+	// if nothing better comes of the request; nil: the server said nothing for it.
+	Answer any
 }
 
 // Exchanger carries attempts to servers. Exchange runs on a goroutine of its own and
@@ -196,7 +198,7 @@
 type Answer struct {
 	Verdict    Verdict
 	RetryAfter time.Duration // for Refused; 0: nothing to advise
-	Value      any           // for Served
+	Value      any           // for Served; else what a server said last, nil if none did
 }
 
 // Request is what a front submits, once.
@@ -214,6 +216,7 @@
 	first    [1]*attempt // where the usual one goes
 	out      int         // attempts with no outcome yet
 	ended    bool        // has its final answer, or its client left
+	said     any         // Result.Answer of the latest attempt that was not served
 	deadline alarm
 }
 
@@ -568,8 +571,12 @@
 	a.Revoke()
 	a.Stop()
 	c.alarms.clear(&a.timeout)
-	if res.Status == policy.OK && !r.ended {
+	switch {
+	case r.ended:
+	case res.Status == policy.OK:
 		c.finish(r, Answer{Verdict: Served, Value: res.Answer})
+	case res.Answer != nil:
+		r.said = res.Answer
 	}
 	c.balancer.Outcome(now, policy.Outcome{
 		ID: r.id, Attempt: index, Server: a.to, Status: res.Status, Ended: r.ended, Latency: now - a.decided,
@@ -662,6 +669,7 @@
 
 func (c *Cluster) settle(id policy.RequestID, a Answer) {
 	if r := c.requests[id]; r != nil && !r.ended {
+		a.Value = r.said
 		c.finish(r, a)
 		c.after = append(c.after, event{kind: evRelease, request: r})
 	}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -173,7 +173,7 @@
 			panic(http.ErrAbortHandler) // to serve it here too would be to serve it twice
 		case over:
 			w.Header().Set("Connection", "close")
-			write(w, engine.Answer{Verdict: engine.Refused, RetryAfter: to.MaxRetryAfter})
+			write(w, r.Method == http.MethodHead, engine.Answer{Verdict: engine.Refused, RetryAfter: to.MaxRetryAfter})
 			return
 		}
 	}
@@ -199,7 +199,7 @@
 	if counted && c.last() {
 		w.Header().Set("Connection", "close")
 	}
-	write(w, a)
+	write(w, r.Method == http.MethodHead, a)
 }
 
 // Asked is when a request was last taken.
@@ -270,23 +270,29 @@
 
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
-func write(w http.ResponseWriter, a engine.Answer) {
+func write(w http.ResponseWriter, head bool, a engine.Answer) {
 	h := w.Header()
-	status, body := http.StatusBadGateway, []byte(nil)
-	switch a.Verdict {
-	case engine.Served:
-		answer := a.Value.(*httpup.Answer)
+	status, body, length := http.StatusBadGateway, []byte(nil), int64(-1)
+	if a.Verdict == engine.Refused {
+		status = http.StatusServiceUnavailable
+	}
+	if answer, ok := a.Value.(*httpup.Answer); ok { // served, or the last word of a server
 		status, body = answer.Status, answer.Body
 		for name, values := range answer.Header {
 			h[name] = values
 		}
-	case engine.Refused:
-		status = http.StatusServiceUnavailable
-		if a.RetryAfter > 0 {
-			h.Set("Retry-After", seconds(a.RetryAfter))
+		if len(body) == 0 {
+			length = answer.Length
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if a.Verdict == engine.Refused && a.RetryAfter > 0 && len(h["Retry-After"]) == 0 {
+		h.Set("Retry-After", seconds(a.RetryAfter))
+	}
+	if head && length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	} else if !head {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
 	w.Write(body)
 }
@@ -326,7 +332,7 @@
 	switch {
 	case f.options.Strict && r.Method != method:
 		return nil, &Rejection{Status: http.StatusMethodNotAllowed, Text: "the class wants " + method, Allow: method}
-	case r.Method == http.MethodHead, r.Method == http.MethodConnect, r.URL.Path == "*":
+	case f.options.Strict && r.Method == http.MethodHead, r.Method == http.MethodConnect, r.URL.Path == "*":
 		return nil, &Rejection{Status: http.StatusMethodNotAllowed, Text: r.Method + " is not carried"}
 	case to.Effect == policy.Keyed && one(keys) == "":
 		return nil, bad("Idempotency-Key is missing")
--- a/internal/httpup/httpup.go
+++ b/internal/httpup/httpup.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,8 @@
 	Status int         // 200 alone, but for Options.AnyAnswer
 	Header http.Header // end-to-end ones
 	Body   []byte
+	// Length is what the answer to a HEAD says of its body (RFC 9110, 9.3.2); -1: nothing.
+	Length int64
 }
 
 // Server is where a server listens, under one start of it.
@@ -67,7 +70,9 @@
 	ServersIdle    time.Duration // servers close a connection that was idle for so long
 	ConnectTimeout time.Duration
 	MaxOpen        int // connections to all servers, those being opened included
-	// AnyAnswer takes each answer under 500 for one that was served; else 200 alone.
+	// AnyAnswer takes each answer under 500 for one that was served; else 200 alone. Other
+	// answers come with their results, for clients with whom nothing better is left, and
+	// one that is too large to be carried is not booked as the server's failure.
 	AnyAnswer bool
 }
 
@@ -368,7 +373,7 @@
 	}
 	b = append(b, "\r\nX-Timeout-Ms: "...)
 	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
-	if len(o.Body) > 0 || o.Method != http.MethodGet {
+	if len(o.Body) > 0 || o.Method != http.MethodGet && o.Method != http.MethodHead {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(o.Body)), 10)
 	}
@@ -396,13 +401,16 @@
 	if err != nil {
 		return engine.Result{Status: c.broken()}, false
 	}
-	if resp.ContentLength > MaxBody {
-		return engine.Result{Status: policy.Error}, false // not even looked at: it may have gigabytes
+	head := method == http.MethodHead
+	if resp.ContentLength > MaxBody && !head {
+		return tooLarge(anyAnswer), false // not even looked at: it may have gigabytes
 	}
 	// The body is never closed, which would read it to its end; the connection is,
 	// unless the body was read.
 	var body []byte
-	if n := resp.ContentLength; n >= 0 && len(resp.TransferEncoding) == 0 {
+	if n := resp.ContentLength; head {
+		// It has no body, whatever it says of one.
+	} else if n >= 0 && len(resp.TransferEncoding) == 0 {
 		if n > int64(c.reader.Buffered()) {
 			c.limit(true)
 		}
@@ -416,22 +424,45 @@
 	case err != nil:
 		return engine.Result{Status: c.broken()}, false
 	case len(body) > MaxBody:
-		return engine.Result{Status: policy.Error}, false
+		return tooLarge(anyAnswer), false
+	case head:
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return engine.Result{Status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
 	}
 	c.limit(false)
 	keep := !resp.Close && c.reader.Buffered() == 0 // more than the answer: out of step
-	switch {
-	case resp.StatusCode == http.StatusOK, anyAnswer && resp.StatusCode < 500:
-		return engine.Result{Status: policy.OK, Answer: &Answer{
-			Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: body,
-		}}, keep
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Not-Processed") == "1":
-		return engine.Result{Status: policy.Full}, keep
-	}
-	return engine.Result{Status: policy.Error}, keep
+	if resp.StatusCode != http.StatusOK && !anyAnswer {
+		return engine.Result{Status: notServed(resp)}, keep
+	}
+	out := engine.Result{Status: policy.OK, Answer: &Answer{
+		Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: body, Length: resp.ContentLength,
+	}}
+	if resp.StatusCode >= 500 {
+		out.Status = notServed(resp)
+	}
+	return out, keep
+}
+
+// tooLarge is the outcome of an answer that is too large to be carried. Where any answer
+// counts, it is no fault of the server's: to book it as one would open a healthy server's
+// breaker, and another server's answer would be no smaller.
+func tooLarge(anyAnswer bool) engine.Result {
+	if !anyAnswer {
+		return engine.Result{Status: policy.Error}
+	}
+	return engine.Result{Status: policy.OK, Answer: &Answer{
+		Status: http.StatusBadGateway, Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+		Body: fmt.Appendf(nil, "the server's answer is larger than %d bytes\n", MaxBody), Length: -1,
+	}}
+}
+
+// notServed tells what an answer that does not serve its request says of the attempt.
+func notServed(resp *http.Response) policy.Status {
+	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Not-Processed") == "1" {
+		return policy.Full
+	}
+	return policy.Error
 }
 
 // limit has what is still to be read come within answerSpan, or within no time.
