Pass answers of any size on as streams, with back-pressure and visible breaks

An answer over 64 KiB was a failed attempt in serve, and one large page opened a healthy server's breaker.

Change: an answer whose body is not at hand is finished by the engine at its head; the body is a stream that the front owns and closes, and the engine closes those that no front gets. A break cuts the client's connection. The platform's node takes none, as before.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,9 @@
 func (c Clock) At(wall time.Time) time.Duration { return max(0, wall.Sub(c.zero.Round(0))) }
 
 // Result is how one attempt ended, and the answer if it was served.
+//
+// An Answer that is an io.Closer holds something until its front is done with it: the
+// engine closes those that no front gets.
 type Result struct {
 	Status policy.Status
 	// Answer is the server's. With another status than policy.OK it is what the client gets
@@ -388,6 +392,13 @@
 	}
 }
 
+// discard closes an answer that nobody takes.
+func discard(answer any) {
+	if c, ok := answer.(io.Closer); ok {
+		c.Close()
+	}
+}
+
 // inspect runs look on the loop's goroutine.
 func (c *Cluster) inspect(look func()) { c.post(event{kind: evInspect, inspect: look}) }
 
@@ -438,7 +449,10 @@
 	case a := <-r.answer:
 		return a, nil
 	case <-ctx.Done():
-		c.post(event{kind: evLeft, request: r})
+		if !c.post(event{kind: evLeft, request: r}) {
+			<-c.gone
+			r.untaken()
+		}
 		return Answer{}, ErrLeft
 	case <-c.gone:
 		select {
@@ -537,9 +551,19 @@
 	c.release(r)
 }
 
+// untaken discards the answer of a request whose client left as it came.
+func (r *Request) untaken() {
+	select {
+	case a := <-r.answer:
+		discard(a.Value)
+	default:
+	}
+}
+
 // left ends a request whose client went away: nothing is owed any more.
 func (c *Cluster) left(now time.Duration, r *Request) {
 	if r.ended {
+		r.untaken()
 		return
 	}
 	c.end(r)
@@ -561,6 +585,7 @@
 func (c *Cluster) outcome(now time.Duration, r *Request, index int, res Result) {
 	a := r.attempts[index]
 	if a.told {
+		discard(res.Answer)
 		return
 	}
 	a.told = true
@@ -573,6 +598,7 @@
 	c.alarms.clear(&a.timeout)
 	switch {
 	case r.ended:
+		discard(res.Answer)
 	case res.Status == policy.OK:
 		c.finish(r, Answer{Verdict: Served, Value: res.Answer})
 	case res.Answer != nil:
@@ -648,7 +674,9 @@
 	}
 	go func() {
 		res := c.ex.Exchange(&a.Call, server, r.Payload, r.End-now)
-		c.post(event{kind: evOutcome, request: r, index: index, result: res})
+		if !c.post(event{kind: evOutcome, request: r, index: index, result: res}) {
+			discard(res.Answer)
+		}
 	}()
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -258,6 +258,41 @@
 	}
 }
 
+type closer chan struct{}
+
+func (c closer) Close() error {
+	close(c)
+	return nil
+}
+
+// An answer that holds something and that no front gets is closed: of a request whose
+// client left, whose time was up, or whose cluster has ended.
+func TestUntakenAnswersAreClosed(t *testing.T) {
+	for name, end := range map[string]func(c *Cluster, leave func()){
+		"client left":   func(_ *Cluster, leave func()) { leave() },
+		"abandoned":     func(c *Cluster, _ func()) { c.Abandon() },
+		"cluster ended": func(c *Cluster, _ func()) { c.stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, answered, held := make(chan struct{}), make(chan struct{}), make(closer)
+			c := start(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
+				call.Begin()
+				close(out)
+				<-answered
+				return Result{Status: policy.OK, Answer: held}
+			}), 1)
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			go func() { <-out; end(c, leave) }()
+			if a, err := c.Do(ctx, c.request(2, testkit.Patience)); err == nil && a.Verdict == Served {
+				t.Errorf("%+v", a)
+			}
+			close(answered)
+			testkit.Wait(t, held, "the answer to be closed")
+		})
+	}
+}
+
 // Within the grace, and to a server that stays, sends go on.
 func TestDrainLeavesOthers(t *testing.T) {
 	c := start(t, exchange(served), 1, 2)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -35,6 +35,9 @@
 	// writeTimeout is how long after its time a client may still take its answer.
 	// One that reads nothing would else hold its connection for good.
 	writeTimeout = 500 * time.Millisecond
+	// streamWrite is how long a client may leave a part of a stream untaken.
+	streamWrite  = 30 * time.Second
+	streamBuffer = 32 << 10 // bytes a stream holds in the front, beside the sockets' own
 )
 
 // Destination is what a Router makes of a request: the cluster that decides on it, and
@@ -200,6 +203,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	write(w, r.Method == http.MethodHead, a)
+	if answer, ok := a.Value.(*httpup.Answer); ok && answer.Stream != nil {
+		pass(r.Context(), w, control, answer.Stream)
+	}
 }
 
 // Asked is when a request was last taken.
@@ -288,15 +294,53 @@
 	if a.Verdict == engine.Refused && a.RetryAfter > 0 && len(h["Retry-After"]) == 0 {
 		h.Set("Retry-After", seconds(a.RetryAfter))
 	}
-	if head && length >= 0 {
+	switch stream := isStream(a); {
+	case (head || stream) && length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
-	} else if !head {
+	case !head && !stream:
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	w.WriteHeader(status)
 	w.Write(body)
 }
 
+func isStream(a engine.Answer) bool {
+	answer, ok := a.Value.(*httpup.Answer)
+	return ok && answer.Stream != nil
+}
+
+// pass passes a stream on, as fast as both sides are, through one buffer. What has begun
+// is final: a stream that breaks cuts the client's connection, so that the part that came
+// is not taken for the whole.
+func pass(ctx context.Context, w http.ResponseWriter, control *http.ResponseController, s *httpup.Stream) {
+	defer s.Close()
+	defer context.AfterFunc(ctx, s.Abort)() // the client leaves while the server pauses
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	for {
+		n, err := s.Read(*buffer)
+		if n > 0 {
+			control.SetWriteDeadline(time.Now().Add(streamWrite))
+			if _, err := w.Write((*buffer)[:n]); err != nil {
+				panic(http.ErrAbortHandler) // the client is gone, or takes nothing
+			}
+			if n < len(*buffer) { // the server pauses: what there is goes out
+				if err := control.Flush(); err != nil {
+					panic(http.ErrAbortHandler)
+				}
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, streamBuffer); return &b }}
+
 // parse reads and checks a request.
 func (f *Front) parse(r *http.Request, to *Destination) (*engine.Request, error) {
 	header := r.Header
--- a/internal/httpup/httpup.go
+++ b/internal/httpup/httpup.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -53,8 +52,18 @@
 	Status int         // 200 alone, but for Options.AnyAnswer
 	Header http.Header // end-to-end ones
 	Body   []byte
-	// Length is what the answer to a HEAD says of its body (RFC 9110, 9.3.2); -1: nothing.
+	// Length is what the answer to a HEAD says of its body (RFC 9110, 9.3.2), or how long
+	// the stream is; -1: nothing is said.
 	Length int64
+	Stream *Stream // in place of Body; nil: the body is whole
+}
+
+// Close ends a stream that nobody takes.
+func (a *Answer) Close() error {
+	if a.Stream != nil {
+		return a.Stream.Close()
+	}
+	return nil
 }
 
 // Server is where a server listens, under one start of it.
@@ -72,7 +81,7 @@
 	MaxOpen        int // connections to all servers, those being opened included
 	// AnyAnswer takes each answer under 500 for one that was served; else 200 alone. Other
 	// answers come with their results, for clients with whom nothing better is left, and
-	// one that is too large to be carried is not booked as the server's failure.
+	// a body that is larger than MaxBody, or slow to come, is passed on as a stream.
 	AnyAnswer bool
 }
 
@@ -346,8 +355,16 @@
 			u.put(conn, call.OffStop())
 			return engine.Result{Status: policy.Moot}
 		}
-		res, keep := conn.exchange(o.Method, conn.message, u.anyAnswer)
-		u.put(conn, call.OffStop() && keep)
+		res, keep := u.exchange(conn, o.Method)
+		going := call.OffStop()
+		if a, ok := res.Answer.(*Answer); ok && a.Stream != nil {
+			if !going { // given up, and closed
+				a.Close()
+				return engine.Result{Status: policy.Cancelled}
+			}
+			return res // the connection is the stream's
+		}
+		u.put(conn, going && keep)
 		return res
 	}
 }
@@ -384,8 +401,8 @@
 // exchange writes the request and reads the answer. The last byte of the
 // request being written decides whether it may have run. It tells whether the
 // connection is of use for a further request.
-func (c *conn) exchange(method string, message []byte, anyAnswer bool) (engine.Result, bool) {
-	if _, err := c.Conn.Write(message); err != nil {
+func (u *Pool) exchange(c *conn, method string) (engine.Result, bool) {
+	if _, err := c.Conn.Write(c.message); err != nil {
 		return engine.Result{Status: policy.ConnectFailed}, false // its last byte was not written
 	}
 	c.budget = maxAnswer
@@ -402,8 +419,11 @@
 		return engine.Result{Status: c.broken()}, false
 	}
 	head := method == http.MethodHead
-	if resp.ContentLength > MaxBody && !head {
-		return tooLarge(anyAnswer), false // not even looked at: it may have gigabytes
+	if resp.ContentLength > MaxBody && !head { // not even looked at: it may have gigabytes
+		if u.anyAnswer {
+			return u.streaming(c, resp, nil, nil), false
+		}
+		return engine.Result{Status: policy.Error}, false
 	}
 	// The body is never closed, which would read it to its end; the connection is,
 	// unless the body was read.
@@ -415,23 +435,33 @@
 			c.limit(true)
 		}
 		body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, body)
+		var got int
+		got, err = io.ReadFull(resp.Body, body)
+		body = body[:got]
+	} else if u.anyAnswer {
+		var whole bool
+		if body, whole, err = c.atHand(resp.Body); err == nil && !whole {
+			return u.streaming(c, resp, body, nil), false
+		}
 	} else {
 		c.limit(true)
 		body, err = io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
 	}
+	if u.anyAnswer && errors.Is(err, os.ErrDeadlineExceeded) { // slow to come, and its length is known
+		return u.streaming(c, resp, body, err), false
+	}
 	switch {
 	case err != nil:
 		return engine.Result{Status: c.broken()}, false
-	case len(body) > MaxBody:
-		return tooLarge(anyAnswer), false
-	case head:
+	case len(body) > MaxBody && !u.anyAnswer: // by 4 KB at most else
+		return engine.Result{Status: policy.Error}, false
+	case head, u.anyAnswer && resp.Close && c.ended == io.EOF:
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return engine.Result{Status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
 	}
 	c.limit(false)
 	keep := !resp.Close && c.reader.Buffered() == 0 // more than the answer: out of step
-	if resp.StatusCode != http.StatusOK && !anyAnswer {
+	if resp.StatusCode != http.StatusOK && !u.anyAnswer {
 		return engine.Result{Status: notServed(resp)}, keep
 	}
 	out := engine.Result{Status: policy.OK, Answer: &Answer{
@@ -443,19 +473,6 @@
 	return out, keep
 }
 
-// tooLarge is the outcome of an answer that is too large to be carried. Where any answer
-// counts, it is no fault of the server's: to book it as one would open a healthy server's
-// breaker, and another server's answer would be no smaller.
-func tooLarge(anyAnswer bool) engine.Result {
-	if !anyAnswer {
-		return engine.Result{Status: policy.Error}
-	}
-	return engine.Result{Status: policy.OK, Answer: &Answer{
-		Status: http.StatusBadGateway, Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
-		Body: fmt.Appendf(nil, "the server's answer is larger than %d bytes\n", MaxBody), Length: -1,
-	}}
-}
-
 // notServed tells what an answer that does not serve its request says of the attempt.
 func notServed(resp *http.Response) policy.Status {
 	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
@@ -465,6 +482,23 @@
 	return policy.Error
 }
 
+// atHand reads what has come of a body of no known length, and tells whether that is all.
+// To wait for more would hold back a stream that pauses.
+func (c *conn) atHand(from io.Reader) (body []byte, whole bool, err error) {
+	part := make([]byte, 4<<10)
+	for c.reader.Buffered() > 0 && len(body) <= MaxBody {
+		n, err := from.Read(part)
+		body = append(body, part[:n]...)
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, false, nil
+}
+
 // limit has what is still to be read come within answerSpan, or within no time.
 func (c *conn) limit(on bool) {
 	switch {
