--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -327,6 +327,7 @@
 
 // run handles events until the context ends. An event's time is when it is taken.
 func (c *Cluster) run() {
+	defer c.drain() // once gone is closed: see post
 	defer close(c.gone)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -430,10 +431,29 @@
 func (c *Cluster) post(e event) bool {
 	select {
 	case c.events <- e:
-		return true
 	case <-c.ctx.Done():
 		return false
 	}
+	select {
+	case <-c.gone: // nobody may have been left to take it
+		c.drain()
+	default:
+	}
+	return true
+}
+
+// drain discards the answers in events that nobody takes any more.
+func (c *Cluster) drain() {
+	for {
+		select {
+		case e := <-c.events:
+			if discard(e.result.Answer); e.kind == evLeft {
+				e.request.untaken()
+			}
+		default:
+			return
+		}
+	}
 }
 
 // Do has a request decided and waits for its final answer. ErrLeft tells that ctx ended
