--- a/internal/xds/translate/fields_test.go
+++ b/internal/xds/translate/fields_test.go
@@ -188,7 +188,10 @@
 		v := m.(*routev3.VirtualHost)
 		v.Routes[0].GetRoute().RetryPolicy, v.RetryPolicy = nil, &routev3.RetryPolicy{RetryOn: "5xx", NumRetries: wrapperspb.UInt32(7)}
 	},
-	"VirtualHost.metadata": func(m proto.Message) { m.(*routev3.VirtualHost).Metadata = own("class", "pay") },
+	"VirtualHost.metadata": func(m proto.Message) { // typed
+		x := own("class", "pay").FilterMetadata[Namespace]
+		m.(*routev3.VirtualHost).Metadata = &corev3.Metadata{TypedFilterMetadata: map[string]*anypb.Any{Namespace: pack(x)}}
+	},
 	"Route.metadata":       func(m proto.Message) { m.(*routev3.Route).Metadata = own("class", "pay") },
 	"RouteMatch.path_match_policy": func(m proto.Message) {
 		m.(*routev3.RouteMatch).PathSpecifier = &routev3.RouteMatch_PathMatchPolicy{PathMatchPolicy: &corev3.TypedExtensionConfig{
