--- a/internal/xds/translate/fields_test.go
+++ b/internal/xds/translate/fields_test.go
@@ -192,7 +192,7 @@
 		x := own("class", "pay").FilterMetadata[Namespace]
 		m.(*routev3.VirtualHost).Metadata = &corev3.Metadata{TypedFilterMetadata: map[string]*anypb.Any{Namespace: pack(x)}}
 	},
-	"Route.metadata":       func(m proto.Message) { m.(*routev3.Route).Metadata = own("class", "pay") },
+	"Route.metadata": func(m proto.Message) { m.(*routev3.Route).Metadata = own("class", "pay") },
 	"RouteMatch.path_match_policy": func(m proto.Message) {
 		m.(*routev3.RouteMatch).PathSpecifier = &routev3.RouteMatch_PathMatchPolicy{PathMatchPolicy: &corev3.TypedExtensionConfig{
 			TypedConfig: pack(&uriv3.UriTemplateMatchConfig{PathTemplate: "/a/{b}"}),
