Name the connection in the abuse rig's error

The rig once reported a failed request that no fault explained. Its error now tells the body's length and whether the connection was a kept one, and for how long, which is what separates a lost race with an idle timeout from a request that the program dropped.

--- a/internal/abuse/scenarios.go
+++ b/internal/abuse/scenarios.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"runtime"
 	"runtime/metrics"
 	"slices"
@@ -107,11 +108,13 @@
 		do = []string{"break", "break 10", "break 200000", "status 500"}[rng.IntN(4)]
 	}
 	body := webpeer.Pattern(rng.IntN(1 << rng.IntN(18)))
+	var on httptrace.GotConnInfo
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { on = i }})
 	resp, err := b.transport.RoundTrip(b.request(ctx, path, do, io.NopCloser(bytes.NewReader(body))))
 	t.answered.Add(1)
 	if err != nil {
 		if !fault {
-			return fmt.Errorf("%s %s: %w", path, do, err)
+			return fmt.Errorf("%s %s, body of %d, on a connection reused %v, idle %v for %v: %w", path, do, len(body), on.Reused, on.WasIdle, on.IdleTime, err)
 		}
 		t.cut.Add(1)
 		return nil
