Called by other proxies: an external processor that carries requests or names servers

Change: internal/extproc answers envoy.service.ext_proc.v3: carry sends the request itself, pick books the caller's send as an attempt of the one engine (the payload carries itself; engine.Patient, BeginUndrained). internal/repeat (pure) knows keyed and unsafe requests for their windows within fixed bounds.

Measured: 5,000 requests with caller deaths, server deaths, drains and double asks mixed: one final outcome each, no unsafe effect twice, no server named after its drain was told; suite under -race.

--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,19 @@
+package callers
+
+import (
+	"strings"
+	"testing"
+
+	"yokestall/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// The rig in short.
+func TestRun(t *testing.T) {
+	var out strings.Builder
+	found, err := Run(t.Context(), Options{Requests: 5000, Callers: 16, Out: &out, Log: testkit.Quiet})
+	if t.Log(out.String()); err != nil || len(found) > 0 {
+		t.Errorf("%v, %v", found, err)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -80,13 +80,21 @@
 		return err
 	}
 	defer listeners.Close()
-	if ready != nil {
-		ready(listeners.Addr(first.Program.Listener.Name))
-	}
+	processed := make(chan error, 1)
 	ctx, stop := context.WithCancel(ctx)
 	var watch sync.WaitGroup
 	defer watch.Wait()
 	defer stop()
+	if set := first.Program.ExtProc; set.Address != "" {
+		l, err := net.Listen("tcp", set.Address)
+		if err != nil {
+			return fmt.Errorf("extproc: %w", err)
+		}
+		watch.Go(func() { processed <- a.ServeProcessor(ctx, l, a.NewProcessor(set), set) })
+	}
+	if ready != nil {
+		ready(listeners.Addr(first.Program.Listener.Name))
+	}
 	source := app.NewSource(a, first)
 	if c := app.XDSConfig(first.Program, path); c != nil {
 		client := xds.New(*c, log)
@@ -100,6 +108,9 @@
 				len(x.Servers) > 0 && !slices.EqualFunc(s.Program.Classes, first.Program.Classes, func(a, b config.Class) bool { return a.Name == b.Name }) {
 				log.Warn("a change of [xds], or of the classes' names with a control plane, wants a restart")
 			}
+			if s.Program.ExtProc != first.Program.ExtProc {
+				log.Warn("a change of [extproc] wants a restart")
+			}
 			if s.Program.Keys != keys {
 				log.Warn("a change of [keys] wants a restart")
 			}
@@ -116,6 +127,11 @@
 		return nil
 	case err := <-listeners.Failed():
 		return err
+	case err := <-processed:
+		if ctx.Err() == nil {
+			return fmt.Errorf("extproc: %w", err)
+		}
+		return nil
 	}
 }
 
@@ -168,6 +184,7 @@
 	}
 	c.Flags().BoolVar(&o.Keep, "keep", false, "serve on afterwards, until interrupted")
 	c.Flags().BoolVar(&o.XDS, "xds", false, "have clusters, endpoints and routes come from a stand-in control plane")
+	c.Flags().BoolVar(&o.ExtProc, "extproc", false, "have a stand-in proxy in front ask the program about each request")
 	c.Flags().BoolVar(&o.TLS, "tls", false, "have clients speak HTTP/2 over TLS, with keys that are replaced meanwhile")
 	c.Flags().BoolVarP(&verbose, "verbose", "v", false, "show the program's log too")
 	return c
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,6 +21,7 @@
 
 	"yokestall/internal/app"
 	"yokestall/internal/cluster"
+	"yokestall/internal/extproc"
 	"yokestall/internal/files"
 	"yokestall/internal/standin/appbox"
 	"yokestall/internal/standin/controlplane"
@@ -48,6 +49,9 @@
 	// TLS has the clients speak HTTP/2 over TLS, with keys that the demo makes itself and
 	// replaces while it runs.
 	TLS bool
+	// ExtProc has the clients ask a stand-in proxy, which asks the program what to do with each
+	// request: bookings and payments are carried, reads are sent by the proxy.
+	ExtProc bool
 }
 
 // Result counts a demo's final answers and what the boxes saw.
@@ -127,6 +131,8 @@
 	app    *app.App
 	url    string
 
+	processor *extproc.Server // nil: clients ask the program itself
+
 	versions chan struct{} // one for each version taken
 	plane    *controlplane.Plane
 	keys     *rotation            // nil: clear text
@@ -183,6 +189,10 @@
 		with.Keys = s.keys.store
 		text = strings.Replace(text, "connections = 256\n", "connections = 256\ntls = true\n\n[keys]\nfolder = \"keys\"\npoll = \"50ms\"\n", 1)
 	}
+	if o.ExtProc {
+		text = strings.Replace(text, "[limits]\n", "[extproc]\naddress = \"127.0.0.1:0\"\n\n[limits]\n", 1)
+		text = strings.Replace(text, "prefix = \"/\"\n", "prefix = \"/\"\nprocessor = \"pick\"\n", 1)
+	}
 	if err := os.WriteFile(s.config(), []byte(text), 0o644); err != nil {
 		return nil, err
 	}
@@ -205,6 +215,13 @@
 	if o.TLS {
 		s.url = "https://" + l.Addr().String()
 	}
+	if o.ExtProc {
+		end, err := s.inFront(first.Program.ExtProc)
+		if err != nil {
+			return nil, err
+		}
+		defer end()
+	}
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -256,6 +273,9 @@
 	}
 	s.check()
 	s.summary()
+	if n := s.processor; n != nil {
+		fmt.Fprintf(o.Out, "a proxy in front asked the program about each: %d requests carried, %d picked\n", n.Stats.Carried.Load(), n.Stats.Picked.Load())
+	}
 	if k := s.keys; k != nil {
 		fmt.Fprintf(o.Out, "%d answers over HTTP/2 and TLS; the keys were replaced %d times meanwhile\n", k.http2.Load(), k.store.Changes()-1)
 	}
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -15,12 +15,12 @@
 
 // The demo, in short: every phase is shown, the rules hold, and it ends by itself.
 func TestDemo(t *testing.T) {
-	for _, name := range []string{"files", "xds", "tls"} {
+	for _, name := range []string{"files", "xds", "tls", "extproc"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var out bytes.Buffer
 			r, err := Run(t.Context(), Options{
-				Out: &out, Log: testkit.Log(t), Boxes: 4, Clients: 6, Phase: 300 * time.Millisecond, XDS: name == "xds", TLS: name == "tls",
+				Out: &out, Log: testkit.Log(t), Boxes: 4, Clients: 6, Phase: 300 * time.Millisecond, XDS: name == "xds", TLS: name == "tls", ExtProc: name == "extproc",
 				Slack: testkit.Patience, // that an answer is in time is held in the engine, on its own clock
 			})
 			if err != nil {
@@ -32,6 +32,9 @@
 			if name == "tls" && (!strings.Contains(out.String(), "answers over HTTP/2 and TLS") || strings.Contains(out.String(), " 0 answers over")) {
 				t.Errorf("not over HTTP/2 and TLS:\n%s", out.String())
 			}
+			if name == "extproc" && (!strings.Contains(out.String(), "asked the program about each") || strings.Contains(out.String(), " 0 requests carried") || strings.Contains(out.String(), " 0 picked")) {
+				t.Errorf("not asked about both ways:\n%s", out.String())
+			}
 			for _, text := range []string{"box-2 drains", "box-3 dies", "is back", "Rules kept", "demo --keep"} {
 				if !strings.Contains(out.String(), text) {
 					t.Errorf("%q is not shown in\n%s", text, out.String())
