--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,7 +37,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(logs)
-	root.AddCommand(serve(log), check(out), showDemo(out, log))
+	root.AddCommand(serve(log), check(out), showDemo(out, log), showLab(out))
 	return root
 }
 
--- /dev/null
+++ b/internal/cli/lab.go
@@ -0,0 +1,152 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"yokestall/internal/fleetsim"
+	"yokestall/internal/lab"
+)
+
+// experiment reads an experiment's file.
+func experiment(path string) (*lab.Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return lab.Parse(path, text)
+}
+
+func showLab(out io.Writer) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "lab",
+		Short: "Play days of a fleet in virtual time: what would happen to us if",
+	}
+	var seeds int
+	c.PersistentFlags().IntVar(&seeds, "seeds", 4, "play `N` seeds, from the file's own on")
+	var peers bool
+	var sheet string
+	run := &cobra.Command{
+		Use:   "run FILE...",
+		Short: "Play days; exits with 1 where one does not hold what its file states",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, paths []string) error {
+			held := true
+			for _, path := range paths {
+				ok, err := play(out, path, seeds, peers, sheet)
+				if err != nil {
+					return err
+				}
+				held = held && ok
+			}
+			if !held {
+				return ErrReported
+			}
+			return nil
+		},
+	}
+	run.Flags().BoolVar(&peers, "peers", false, "beside other ways to choose")
+	run.Flags().StringVar(&sheet, "csv", "", "write the service of each second to a `file`")
+	compare := &cobra.Command{
+		Use:   "compare A B",
+		Short: "Play two days on the same seeds, and say whether the second gives more service than the first",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, paths []string) error {
+			var both []*lab.Outcome
+			for _, path := range paths {
+				e, err := experiment(path)
+				if err != nil {
+					return err
+				}
+				o, err := lab.Run(e, path, fleetsim.Program, max(2, seeds))
+				if err != nil {
+					return err
+				}
+				both = append(both, o)
+			}
+			lab.Table(out, both)
+			fmt.Fprintln(out, "service of the second over the first:", lab.Compare(both[0], both[1]))
+			return nil
+		},
+	}
+	list := &cobra.Command{
+		Use:   "list [FOLDER]",
+		Short: "List the days of a folder",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			folder := filepath.Join("deploy", "lab")
+			if len(args) > 0 {
+				folder = args[0]
+			}
+			paths, err := filepath.Glob(filepath.Join(folder, "*.toml"))
+			if err != nil || len(paths) == 0 {
+				return errors.Join(fmt.Errorf("%s: no days", folder), err)
+			}
+			for _, path := range paths {
+				e, err := experiment(path)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(out, "%-36s %s\n", path, e.Summary())
+			}
+			return nil
+		},
+	}
+	c.AddCommand(run, compare, list)
+	return c
+}
+
+// play plays one day; false: it does not hold what its file states.
+func play(out io.Writer, path string, seeds int, peers bool, sheet string) (bool, error) {
+	e, err := experiment(path)
+	if err != nil {
+		return false, err
+	}
+	who := []string{"program"}
+	if peers {
+		for name := range fleetsim.Peers {
+			who = append(who, name)
+		}
+		slices.Sort(who[1:])
+	}
+	var list []*lab.Outcome
+	for _, name := range who {
+		with := fleetsim.Peers[name]
+		if name == "program" {
+			with = fleetsim.Program
+		}
+		o, err := lab.Run(e, name, with, max(1, seeds))
+		if err != nil {
+			return false, err
+		}
+		list = append(list, o)
+	}
+	fmt.Fprintln(out, e.Summary())
+	lab.Table(out, list)
+	for _, o := range list[1:] {
+		if seeds > 1 {
+			fmt.Fprintf(out, "service of the program over %s: %v\n", o.Who, lab.Compare(o, list[0]))
+		}
+	}
+	faults := e.Verdict(list[0])
+	for _, f := range faults {
+		fmt.Fprintln(out, "NOT HELD:", f)
+	}
+	if sheet != "" {
+		f, err := os.Create(sheet)
+		if err != nil {
+			return false, err
+		}
+		if err := errors.Join(lab.CSV(f, list), f.Close()); err != nil {
+			return false, err
+		}
+	}
+	fmt.Fprintf(out, "digest %s\n\n", list[0].Digest())
+	return len(faults) == 0, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -477,18 +477,7 @@
 	if err := decode(name, text, &f); err != nil {
 		return nil, err
 	}
-	var found []error
-	lines := newLines(text)
-	report := func(table string, index int, key, format string, args ...any) {
-		p := &cluster.Problem{Source: name, Line: lines.of(table, index, key), Text: fmt.Sprintf(format, args...)}
-		if p.Field = table; index >= 0 {
-			p.Field += " " + strconv.Itoa(index+1)
-		}
-		if key != "" {
-			p.Field += ": " + key
-		}
-		found = append(found, p)
-	}
+	report, faults := Reporter(name, text)
 	within := func(table, key string, d, least, most time.Duration) {
 		if d < least || d > most {
 			report(table, -1, key, "%v is not from %v to %v", d, least, most)
@@ -545,18 +534,39 @@
 	within("fleet", "fall_for", p.Rules.FallFor, 0, time.Hour)
 	p.extproc(&f, report)
 	p.routes(&f, report)
-	if len(found) == 0 && len(p.Hosts) > 0 {
+	if err := faults(); err != nil {
+		return nil, err
+	}
+	if len(p.Hosts) > 0 {
 		var err error
 		if p.Table, err = route.Compile(p.Hosts); err != nil {
-			found = append(found, &cluster.Problem{Source: name, Text: err.Error()})
+			return nil, &cluster.Problem{Source: name, Text: err.Error()}
 		}
 	}
-	if len(found) > 0 {
-		return nil, errors.Join(found...)
-	}
 	return p, nil
 }
 
+// Decode reads TOML strictly into a value; what is wrong is told by file and line.
+func Decode(name string, text []byte, to any) error { return decode(name, text, to) }
+
+// Reporter collects what is wrong with a file's content, by the line of a table's key. index counts
+// tables of the same name from 0; below 0: there is one. Err gives all of it.
+func Reporter(name string, text []byte) (report func(table string, index int, key, format string, args ...any), err func() error) {
+	var found []error
+	lines := newLines(text)
+	report = func(table string, index int, key, format string, args ...any) {
+		p := &cluster.Problem{Source: name, Line: lines.of(table, index, key), Text: fmt.Sprintf(format, args...)}
+		if p.Field = table; index >= 0 {
+			p.Field += " " + strconv.Itoa(index+1)
+		}
+		if key != "" {
+			p.Field += ": " + key
+		}
+		found = append(found, p)
+	}
+	return report, func() error { return errors.Join(found...) }
+}
+
 type reporter func(table string, index int, key, format string, args ...any)
 
 func (p *Program) classes(f *classFile, report reporter) {
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,143 @@
+package lab
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"yokestall/internal/fleetsim"
+)
+
+func read(t testing.TB, name string) (*Experiment, []byte) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", "lab", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Parse(name, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e, text
+}
+
+// Every day of the library holds what it states.
+func TestLibrary(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/lab/*.toml")
+	if err != nil || len(files) < 10 {
+		t.Fatalf("%d days, %v", len(files), err)
+	}
+	for _, path := range files {
+		e, _ := read(t, filepath.Base(path))
+		o, err := Run(e, "program", fleetsim.Program, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if faults := e.Verdict(o); len(faults) > 0 {
+			t.Errorf("%s: %v", e.Name, faults)
+		}
+	}
+}
+
+// The same seeds give the same digest on one core and on all, and another seed another one.
+func TestDeterminism(t *testing.T) {
+	e, _ := read(t, "half-gone.toml")
+	digest := func(seed uint64) string {
+		e.Seed = seed
+		o, err := Run(e, "program", fleetsim.Program, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o.Digest()
+	}
+	all := digest(1)
+	before := runtime.GOMAXPROCS(1)
+	one := digest(1)
+	runtime.GOMAXPROCS(before)
+	if all != one || digest(5) == all {
+		t.Errorf("%s on all cores, %s on one", all, one)
+	}
+}
+
+// The check on cold servers bites: round robin pushes some over where the program does not.
+func TestRoundRobinPushesOver(t *testing.T) {
+	e, _ := read(t, "cold-fleet.toml")
+	for i := range e.Day.Classes {
+		e.Day.Classes[i].Rate *= 3
+	}
+	for who, with := range map[string]fleetsim.MakeDecider{"program": fleetsim.Program, "round robin": fleetsim.Peers["round robin"]} {
+		o, err := Run(e, who, with, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fell := o.Seeds[0].Fallen; (fell > 0) != (who != "program") {
+			t.Errorf("%s: %d fell over", who, fell)
+		}
+	}
+}
+
+// A comparison sees a difference that is there, and none where there is none.
+func TestCompare(t *testing.T) {
+	e, _ := read(t, "one-slow.toml")
+	e.Day.Length /= 5
+	run := func(with fleetsim.MakeDecider, seed uint64) *Outcome {
+		e.Seed = seed
+		o, err := Run(e, "", with, 8)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o
+	}
+	e.Day.Troubles[0].From = 0
+	program, random := run(fleetsim.Program, 1), run(fleetsim.Peers["random"], 1)
+	if d := Compare(random, program); !d.Seen() || d.Mean < 0 {
+		t.Errorf("program over random: %v", d)
+	}
+	if d := Compare(program, run(fleetsim.Program, 1)); d.Seen() {
+		t.Errorf("over itself: %v", d)
+	}
+}
+
+// Bad files are refused by line before anything starts.
+func TestBadFiles(t *testing.T) {
+	_, good := read(t, "calm.toml")
+	for _, tc := range []struct{ old, new, want string }{
+		{"servers = 10", "servers = 10\nsevers = 3", "severs: is no known key"},
+		{"rate = 800", "rate = -1", "class 1: rate: -1 is not from"},
+		{"rate = 800", "rate = 1e9", "class 1: rate: 1e+09 is not from"},
+		{"length = \"30s\"", "length = \"24h\"", "requests in all; 50000000 at most"},
+		{"effect = \"safe\"", "effect = \"sound\"", `"sound" is none of`},
+		{"cores = 4", "cores = 0", "kind: cores: 0 is not from 1"},
+		{"[expect]", "[[trouble]]\nfrom = \"5s\"\nto = \"3s\"\ndown = true\n[expect]", "from 5s to 3s is no time of the day"},
+		{"[expect]", "[[trouble]]\nfrom = \"5s\"\nto = \"6s\"\nfirst = 8\nlast = 12\ndown = true\n[expect]", "servers 8 to 12 are not among the 10"},
+		{"[expect]", "[[trouble]]\nfrom = \"5s\"\nto = \"6s\"\n[expect]", "one of down, drain"},
+		{"[expect]", "[[load]]\nat = \"5s\"\nvalue = 1\n[[load]]\nat = \"5s\"\nvalue = 1\n[expect]", "5s is not behind the one before"},
+	} {
+		text := strings.Replace(string(good), tc.old, tc.new, 1)
+		_, err := Parse("x.toml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), tc.want) || !strings.Contains(err.Error(), "x.toml:") {
+			t.Errorf("%s: %v", tc.new, err)
+		}
+	}
+}
+
+func BenchmarkPlay(b *testing.B) {
+	for _, n := range []int{10, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e, _ := read(b, "calm.toml")
+			e.Day.Servers, e.Day.Length = n, e.Day.Length/30
+			events := int64(0)
+			for b.Loop() {
+				o, err := Run(e, "program", fleetsim.Program, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				events += o.Seeds[0].Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/model/server_test.go
@@ -0,0 +1,151 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// queue runs a server of so many cores, with an endless queue, under Poisson arrivals and exponential
+// service, and gives the times that jobs were there.
+func queue(cores int, load float64, jobs int, seed uint64) (sojourn []float64) {
+	const work = 10 * time.Millisecond
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := NewServer(&Kind{Cores: cores, Speed: 1, Queue: math.MaxInt32})
+	came := make(map[uint64]time.Duration)
+	rate := load * float64(cores) / work.Seconds()
+	now := time.Duration(0)
+	for id := uint64(0); len(sojourn) < jobs; id++ {
+		now, _ = NextArrival(now, math.MaxInt64, rate, nil, rng)
+		for at, ok := s.Next(); ok && at <= now; at, ok = s.Next() {
+			j, _ := s.Pop(at)
+			if j.ID > uint64(jobs/10) { // past its start
+				sojourn = append(sojourn, (at-came[j.ID]).Seconds()/work.Seconds())
+			}
+			delete(came, j.ID)
+		}
+		came[id] = now
+		s.Arrive(now, Job{ID: id, Work: time.Duration(float64(work) * Spread{Exp: true}.Draw(rng))}, rng)
+	}
+	return sojourn
+}
+
+// erlangC is the chance to wait in M/M/c (Erlang, 1917).
+func erlangC(c int, load float64) float64 {
+	a, sum, term := load*float64(c), 0.0, 1.0
+	for n := range c {
+		sum += term
+		term *= a / float64(n+1)
+	}
+	term /= 1 - load
+	return term / (sum + term)
+}
+
+// TestAgainstClosedForms: means of M/M/1 and M/M/c within 5 %, and the p99 of M/M/1 within 7 %.
+func TestAgainstClosedForms(t *testing.T) {
+	for _, c := range []int{1, 4, 16} {
+		for _, load := range []float64{0.3, 0.7, 0.9} {
+			got := queue(c, load, 400_000, uint64(c))
+			mean := 0.0
+			for _, x := range got {
+				mean += x
+			}
+			mean /= float64(len(got))
+			want := 1 + erlangC(c, load)/(float64(c)*(1-load))
+			if math.Abs(mean/want-1) > 0.05 {
+				t.Errorf("M/M/%d at %v: mean %.3f, %.3f by Erlang's formula", c, load, mean, want)
+			}
+			if c == 1 {
+				slices.Sort(got)
+				p99, want := got[len(got)*99/100], math.Log(100)/(1-load)
+				if math.Abs(p99/want-1) > 0.07 {
+					t.Errorf("M/M/1 at %v: p99 %.2f, not %.2f", load, p99, want)
+				}
+			}
+		}
+	}
+}
+
+// A cold server falls over where the fourth rule says so, and nowhere else: by rate, share and time.
+func TestFallsOver(t *testing.T) {
+	k := &Kind{Cores: 2, Speed: 1, Queue: 1 << 20, ColdFrom: 0.25, ColdFor: 20 * time.Second, FallMultiple: 4, FallFor: 2 * time.Second}
+	for _, tc := range []struct {
+		multiple float64 // of what it can do at the time
+		cold     bool
+		falls    bool
+	}{{3.6, true, false}, {4.6, true, true}, {20, false, false}} {
+		rng := rand.New(rand.NewPCG(1, 1))
+		s := NewServer(k)
+		if tc.cold {
+			s.Start(0)
+		}
+		fell := time.Duration(0)
+		for now := time.Duration(0); now < 18*time.Second && fell == 0; now += time.Millisecond {
+			for s.serving.Len() > 0 {
+				if _, ok := s.Pop(now); !ok {
+					break
+				}
+			}
+			work := tc.multiple * float64(k.Cores) * s.Share(now) * float64(time.Millisecond)
+			if f, lost := s.Arrive(now, Job{Work: time.Duration(work)}, rng); f == Fell {
+				if fell = now; len(lost) == 0 {
+					t.Error("it falls with no job lost")
+				}
+			}
+		}
+		if (fell > 0) != tc.falls || s.Fallen() != tc.falls || s.Up() == tc.falls {
+			t.Errorf("at %v times, cold %v: fell at %v", tc.multiple, tc.cold, fell)
+		}
+		if tc.falls && fell > 4*time.Second {
+			t.Errorf("it bore %v times its capacity for %v", tc.multiple, fell)
+		}
+	}
+}
+
+// What a server turns away, drops by key, fails and loses, in one table of steps.
+func TestFates(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	k := &Kind{Cores: 1, Speed: 2, Queue: 1, Window: time.Second}
+	s := NewServer(k)
+	arrive := func(now time.Duration, key string, want Fate) {
+		t.Helper()
+		if got, _ := s.Arrive(now, Job{Work: 20 * time.Millisecond, Key: key}, rng); got != want {
+			t.Errorf("at %v: fate %d, not %d", now, got, want)
+		}
+	}
+	arrive(0, "a", Taken)
+	arrive(0, "b", Taken)
+	arrive(0, "c", Full)
+	arrive(0, "a", Dropped)
+	if at, ok := s.Next(); !ok || at != 10*time.Millisecond {
+		t.Errorf("served until %v", at)
+	}
+	s.Pop(10 * time.Millisecond)
+	arrive(10*time.Millisecond, "c", Taken)
+	if lost := s.Down(); len(lost) != 2 {
+		t.Errorf("%d lost", len(lost))
+	}
+	arrive(time.Second, "", NoOne)
+	s.Start(time.Second)
+	arrive(time.Second, "a", Taken) // a new process knows no keys
+	s.Trouble.Fail = 1
+	arrive(time.Second, "", Failed)
+}
+
+// Arrivals follow their curve: as many in each tenth as its integral says, within 5 standard errors.
+func TestArrivals(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := Curve{{0, 1}, {50 * time.Second, 3}, {100 * time.Second, 0}}
+	var count [10]float64
+	for now, ok := NextArrival(0, 100*time.Second, 100, c, rng); ok; now, ok = NextArrival(now, 100*time.Second, 100, c, rng) {
+		count[now/(10*time.Second)]++
+	}
+	for i, got := range count {
+		want := 1000 * c.Value(time.Duration(i)*10*time.Second+5*time.Second)
+		if math.Abs(got-want) > 5*math.Sqrt(want) {
+			t.Errorf("tenth %d: %v arrivals, %v wanted", i, got, want)
+		}
+	}
+}
