--- /dev/null
+++ b/internal/app/bounds_test.go
@@ -0,0 +1,43 @@
+package app
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/internal/config"
+	"yokestall/internal/standin/webpeer"
+	"yokestall/internal/testkit"
+)
+
+// A listener's bounds on heads and on clients that stand still, over both versions' sockets: a head over
+// the bound is 431, an upload that stops 408, and a client that takes nothing of its stream is cut, which
+// ends the stream at its server.
+func TestListenerBounds(t *testing.T) {
+	over := make(chan struct{}, 1)
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		for part := make([]byte, 64<<10); ; {
+			if _, err := w.Write(part); err != nil {
+				over <- struct{}{}
+				return
+			}
+		}
+	})
+	c := newCellTo(t, webpeer.Wire{}, webpeer.Wire{}, nil, nil, config.Listener{HTTP2: 10, MaxHead: 1 << 10, Stall: 100 * time.Millisecond}, b.Addr())
+	if got := raw(t, c.addr, "GET /x HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("v", 8<<10)+"\r\n\r\n", "\r\n"); !strings.Contains(got, "431") {
+		t.Errorf("a head of 8 KiB: %q", got)
+	}
+	if got := raw(t, c.addr, "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe", "\r\n"); !strings.Contains(got, "408") {
+		t.Errorf("an upload that stops: %q", got)
+	}
+	nc, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n") // and takes nothing
+	testkit.Wait(t, over, "the stream to end at its server")
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -214,8 +214,10 @@
 	}
 	a, err := to.Cluster.Do(ctx, q)
 	f.disclaim(id)
-	if u := payload.Upload; u != nil && r.Context().Err() == nil {
-		if broken := u.Failed(); broken != nil && (err != nil || a.Verdict != engine.Served) {
+	if u := payload.Upload; u != nil {
+		// net/http takes the end of a read's time for the client's end; such a client is there.
+		broken := u.Failed()
+		if here := r.Context().Err() == nil || errors.Is(broken, os.ErrDeadlineExceeded); here && broken != nil && (err != nil || a.Verdict != engine.Served) {
 			discard(a)
 			refuse(w, r, uploadFault(broken))
 			return
