--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -75,6 +76,43 @@
 			return nil
 		},
 	}
+	sockets := &cobra.Command{
+		Use:   "real FILE...",
+		Short: "Play days on sockets too, in real time, beside the same days in virtual time",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, paths []string) error {
+			held := true
+			for _, path := range paths {
+				e, err := experiment(path)
+				if err != nil {
+					return err
+				}
+				virtual, err := lab.Run(e, "virtual", fleetsim.Program, 1)
+				if err != nil {
+					return err
+				}
+				real, void, err := lab.Real(c.Context(), e, slog.New(slog.DiscardHandler))
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(out, e.Summary())
+				lab.Table(out, []*lab.Outcome{virtual, real})
+				for _, b := range real.Broken() {
+					fmt.Fprintln(out, "NOT HELD:", b)
+					held = false
+				}
+				if void {
+					fmt.Fprintln(out, "VOID: the load generator was late itself")
+				}
+				fmt.Fprintln(out)
+				held = held && !void
+			}
+			if !held {
+				return ErrReported
+			}
+			return nil
+		},
+	}
 	list := &cobra.Command{
 		Use:   "list [FOLDER]",
 		Short: "List the days of a folder",
@@ -98,7 +136,7 @@
 			return nil
 		},
 	}
-	c.AddCommand(run, compare, list)
+	c.AddCommand(run, sockets, compare, list)
 	return c
 }
 
--- /dev/null
+++ b/internal/loadgen/loadgen_test.go
@@ -0,0 +1,60 @@
+package loadgen
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yokestall/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// A server that stalls for the second half of two seconds shows in the p99 as its clients would see it: of
+// the half that is due in the stall, waits are even from 0 to 1 s, so the p99 of all is 0.98 s. With few
+// connections a closed loop would hide nearly all of it.
+func TestStallShows(t *testing.T) {
+	began := time.Now()
+	end := began.Add(2 * time.Second)
+	r := Run(t.Context(), Plan{
+		Length: 2 * time.Second, Open: 4, Late: time.Second, Seed: 1,
+		Streams: []Stream{{Rate: 500, Even: true, Do: func(context.Context, int, time.Time) {
+			if now := time.Now(); now.After(began.Add(time.Second)) && now.Before(end) {
+				time.Sleep(end.Sub(now)) // the stall
+			}
+		}}},
+	})
+	due, sent := r.FromDue[0].ValueAtQuantile(99), r.FromSend[0].ValueAtQuantile(98)
+	if due < 900_000 || sent > due/2 {
+		t.Errorf("p99 from due %d us; p98 from sending %d us", due, sent)
+	}
+	if n := r.Asked[0]; n < 990 || n > 1000 {
+		t.Errorf("%d asked, 1000 due", n)
+	}
+}
+
+// A run in which the generator itself was starved is void; one in which it only waits for the server is not.
+func TestVoid(t *testing.T) {
+	plan := Plan{Length: 300 * time.Millisecond, Open: 64, Late: 5 * time.Millisecond, Seed: 1,
+		Streams: []Stream{{Rate: 500, Do: func(context.Context, int, time.Time) {}}}}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var stop atomic.Bool
+	for range 8 {
+		go func() {
+			for !stop.Load() {
+			}
+		}()
+	}
+	r := Run(t.Context(), plan)
+	stop.Store(true)
+	if !r.Void {
+		t.Errorf("starved of its core and not void: late by %d us at p99", r.Lateness.ValueAtQuantile(99))
+	}
+	plan.Open, plan.Late = 1, testkit.Patience
+	plan.Streams[0].Do = func(context.Context, int, time.Time) { time.Sleep(20 * time.Millisecond) } // the server's time
+	if r := Run(t.Context(), plan); r.Void || r.FromDue[0].ValueAtQuantile(50) < 20_000 {
+		t.Errorf("void %v, p50 %d us", r.Void, r.FromDue[0].ValueAtQuantile(50))
+	}
+}
--- /dev/null
+++ b/internal/standin/modelbox/modelbox.go
@@ -0,0 +1,178 @@
+// Package modelbox is a stand-in for a server that behaves under load as internal/model says: an HTTP
+// server on loopback whose jobs wait, are served and turned away by the model, in real time.
+package modelbox
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"yokestall/internal/model"
+)
+
+// WorkHeader is a job's work in microseconds.
+const WorkHeader = "X-Work-Us"
+
+// Box is a server. Create it with Start; its methods are safe for concurrent use.
+type Box struct {
+	Addr string
+
+	srv  *http.Server
+	done chan struct{}
+	zero time.Time
+
+	mu      sync.Mutex
+	server  *model.Server
+	rng     *rand.Rand
+	id      uint64
+	open    map[uint64]chan bool // by job; true: served
+	timer   *time.Timer
+	effects map[string]int // by request id
+	fell    int
+}
+
+// Start starts a box on a free port of 127.0.0.1, warm.
+func Start(k *model.Kind, seed uint64) (*Box, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &Box{
+		Addr: l.Addr().String(), done: make(chan struct{}), zero: time.Now(), server: model.NewServer(k),
+		rng: rand.New(rand.NewPCG(seed, 11)), open: map[uint64]chan bool{}, effects: map[string]int{},
+	}
+	b.timer = time.AfterFunc(time.Hour, b.pop)
+	b.srv = &http.Server{Handler: b}
+	go func() {
+		defer close(b.done)
+		b.srv.Serve(l)
+	}()
+	return b, nil
+}
+
+// Close ends the box.
+func (b *Box) Close() {
+	b.Down()
+	b.srv.Close()
+	<-b.done
+	b.timer.Stop()
+}
+
+func (b *Box) now() time.Duration { return time.Since(b.zero) }
+
+// Down has the box lose all its jobs and serve none: connections break.
+func (b *Box) Down() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lose(b.server.Down())
+}
+
+// Up starts it again, cold.
+func (b *Box) Up() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server.Start(b.now())
+}
+
+// Trouble sets what is wrong with it.
+func (b *Box) Trouble(t model.Trouble) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server.Trouble = t
+}
+
+// Effects gives how often each request took effect, by its id, and how often the box fell over.
+func (b *Box) Effects() (by map[string]int, fell int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	by = make(map[string]int, len(b.effects))
+	for id, n := range b.effects {
+		by[id] = n
+	}
+	return by, b.fell
+}
+
+func (b *Box) lose(lost []model.Job) {
+	for _, j := range lost {
+		if c := b.open[j.ID]; c != nil {
+			delete(b.open, j.ID)
+			c <- false
+		}
+	}
+}
+
+// pop ends the jobs whose service is over.
+func (b *Box) pop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		j, ok := b.server.Pop(b.now())
+		if !ok {
+			break
+		}
+		if c := b.open[j.ID]; c != nil {
+			delete(b.open, j.ID)
+			c <- true
+		}
+	}
+	b.arm()
+}
+
+func (b *Box) arm() {
+	if at, ok := b.server.Next(); ok {
+		b.timer.Reset(max(0, at-b.now()))
+	}
+}
+
+// ServeHTTP takes a job.
+func (b *Box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	us, err := strconv.ParseInt(r.Header.Get(WorkHeader), 10, 40)
+	if err != nil || us <= 0 {
+		http.Error(w, "no work", http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	b.id++
+	j := model.Job{ID: b.id, Work: time.Duration(us) * time.Microsecond, Key: r.Header.Get("Idempotency-Key")}
+	fate, lost := b.server.Arrive(b.now(), j, b.rng)
+	c := make(chan bool, 1)
+	if fate == model.Taken {
+		b.open[j.ID] = c
+		b.arm()
+	}
+	if fate == model.Fell {
+		b.fell++
+		b.lose(lost)
+	}
+	b.mu.Unlock()
+	switch fate {
+	case model.Full:
+		w.Header().Set("X-Not-Processed", "1")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	case model.Failed:
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	case model.Dropped:
+		fmt.Fprintln(w, "seen before")
+		return
+	case model.NoOne, model.Fell:
+		panic(http.ErrAbortHandler)
+	}
+	if !<-c {
+		panic(http.ErrAbortHandler)
+	}
+	b.mu.Lock()
+	b.effects[r.Header.Get("X-Request-Id")]++
+	silent := b.server.Trouble.Silent
+	b.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprintln(w, "done")
+}
