--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -155,7 +155,9 @@
 	r.serial++
 	p := &place{box: b, endpoint: cluster.Endpoint{ID: fmt.Sprint("s-", r.serial), Address: b.Addr, Weight: 1}}
 	if cold {
-		b.Up()
+		if err := b.Up(); err != nil {
+			return err
+		}
 		p.endpoint.Started = time.Now().UnixMilli()
 	}
 	r.all = append(r.all, b)
@@ -232,7 +234,10 @@
 			case s.t.Down && !s.over:
 				p.box.Down()
 			case s.t.Down:
-				p.box.Up()
+				if err := p.box.Up(); err != nil {
+					r.err = err
+					return
+				}
 				r.mu.Lock()
 				p.endpoint.Started = time.Now().UnixMilli()
 				r.mu.Unlock()
--- a/internal/standin/modelbox/modelbox.go
+++ b/internal/standin/modelbox/modelbox.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,13 +21,13 @@
 
 // Box is a server. Create it with Start; its methods are safe for concurrent use.
 type Box struct {
-	Addr string
+	Addr string // the same after Down and Up
 
-	srv  *http.Server
-	done chan struct{}
 	zero time.Time
 
 	mu      sync.Mutex
+	srv     *http.Server // nil while the box is down
+	done    chan struct{}
 	server  *model.Server
 	rng     *rand.Rand
 	id      uint64
@@ -37,45 +39,60 @@
 
 // Start starts a box on a free port of 127.0.0.1, warm.
 func Start(k *model.Kind, seed uint64) (*Box, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
 	b := &Box{
-		Addr: l.Addr().String(), done: make(chan struct{}), zero: time.Now(), server: model.NewServer(k),
+		Addr: "127.0.0.1:0", zero: time.Now(), server: model.NewServer(k),
 		rng: rand.New(rand.NewPCG(seed, 11)), open: map[uint64]chan bool{}, effects: map[string]int{},
 	}
 	b.timer = time.AfterFunc(time.Hour, b.pop)
-	b.srv = &http.Server{Handler: b}
+	return b, b.listen()
+}
+
+// listen takes connections at the box's address.
+func (b *Box) listen() error {
+	l, err := net.Listen("tcp", b.Addr)
+	if err != nil {
+		return err
+	}
+	b.Addr = l.Addr().String()
+	srv, done := &http.Server{Handler: b, ErrorLog: log.New(io.Discard, "", 0)}, make(chan struct{})
+	b.srv, b.done = srv, done
 	go func() {
-		defer close(b.done)
-		b.srv.Serve(l)
+		defer close(done)
+		srv.Serve(l)
 	}()
-	return b, nil
+	return nil
 }
 
 // Close ends the box.
 func (b *Box) Close() {
 	b.Down()
-	b.srv.Close()
-	<-b.done
 	b.timer.Stop()
 }
 
 func (b *Box) now() time.Duration { return time.Since(b.zero) }
 
-// Down has the box lose all its jobs and serve none: connections break.
+// Down has the box lose all its jobs: connections break, new ones are refused.
 func (b *Box) Down() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.lose(b.server.Down())
+	srv, done := b.srv, b.done
+	b.srv = nil
+	b.mu.Unlock()
+	if srv != nil {
+		srv.Close()
+		<-done
+	}
 }
 
-// Up starts it again, cold.
-func (b *Box) Up() {
+// Up starts it again, cold, at its address.
+func (b *Box) Up() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.server.Start(b.now())
+	if b.srv != nil {
+		return nil
+	}
+	return b.listen()
 }
 
 // Trouble sets what is wrong with it.
