Take a pick whose outcome is not known for one that may have run

Cause, found by reading: at a request's end the engine stops its attempts on goroutines of their own, so run could read ask.ran before Carry had set it (internal/extproc/pick.go). An unsafe request that had been named a server was then forgotten as one that never ran, and its id could be named a second one.

Change: a server that was named and not told about counts as well. Without it TestNeverTold fails.

--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -311,6 +311,31 @@
 	}
 }
 
+// A caller that never tells: when the request's time is up, what was named may have run, and its id gets no
+// second server.
+func TestNeverTold(t *testing.T) {
+	r := start(t, []string{"127.0.0.1:1"})
+	for i := range 50 {
+		fields := []string{"x-request-id", fmt.Sprint("n", i), "x-timeout-ms", "30"}
+		first := r.open(t.Context())
+		first.Send(head(true, "/pick/pay/x", fields...))
+		if reply, err := first.Recv(); err != nil || named(reply) == "" {
+			continue // a breaker is open by now
+		}
+		for over := false; !over; {
+			again := r.open(t.Context())
+			again.Send(head(true, "/pick/pay/x", fields...))
+			reply, err := again.Recv()
+			if named(reply) != "" || err != nil {
+				t.Fatalf("turn %d: %v, %v", i, reply, err)
+			}
+			over = strings.Contains(string(reply.GetImmediateResponse().GetBody()), "may have run")
+			again.CloseSend()
+		}
+		first.CloseSend()
+	}
+}
+
 // The deadline is the least of the call's, the route's and the request's own fields; nothing is decided
 // past it, and what is open ends there.
 func TestDeadline(t *testing.T) {
--- a/internal/extproc/pick.go
+++ b/internal/extproc/pick.go
@@ -188,7 +188,7 @@
 	defer a.cancel()
 	answer, err := c.Do(ctx, q)
 	a.mu.Lock()
-	ran := a.ran
+	ran := a.ran || a.out // Carry may not have seen yet that the request's time is up
 	a.mu.Unlock()
 	switch {
 	case err == nil && answer.Verdict == engine.Served:
