--- a/internal/repeat/repeat.go
+++ b/internal/repeat/repeat.go
@@ -73,7 +73,6 @@
 	until   time.Duration
 	size    int64
 	joined  int
-	place   int // in the heap of those that have ended
 }
 
 // Store holds entries. Create it with New; it is not for concurrent use.
@@ -209,17 +208,10 @@
 
 func (d ends) Len() int           { return len(d) }
 func (d ends) Less(i, j int) bool { return d[i].until < d[j].until }
-func (d ends) Swap(i, j int) {
-	d[i], d[j] = d[j], d[i]
-	d[i].place, d[j].place = i, j
-}
+func (d ends) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
 
 // Push implements heap.Interface.
-func (d *ends) Push(x any) {
-	e := x.(*Entry)
-	e.place = len(*d)
-	*d = append(*d, e)
-}
+func (d *ends) Push(x any) { *d = append(*d, x.(*Entry)) }
 
 // Pop implements heap.Interface.
 func (d *ends) Pop() any {
