Have the stand-in proxy send from one goroutine at a time, and forward the body that comes back

Cause: with FULL_DUPLEX_STREAMED its body and what followed were sent by two goroutines, which gRPC does not allow; a run of the suite under -race found it. It also took the first reply for the one to its response headers.

Change: in pick it waits for the body that the processor passes, as the protocol has it, and then goes on alone.

--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -143,8 +143,13 @@
 		stream.Recv()
 		return broken(context.Canceled)
 	}
-	if !whole && p.Mode == filterv3.ProcessingMode_FULL_DUPLEX_STREAMED {
-		go p.body(stream, a.Body, 1000) // ends with the exchange
+	sent := make(chan struct{}) // nobody else may send before its end
+	duplex := !whole && p.Mode == filterv3.ProcessingMode_FULL_DUPLEX_STREAMED
+	if duplex {
+		go func() { // ends with the exchange
+			defer close(sent)
+			p.body(stream, a.Body, 1000)
+		}()
 	}
 	for {
 		r, err := stream.Recv()
@@ -168,6 +173,12 @@
 			server := fields.Get("X-Gateway-Destination-Endpoint")
 			if server != "" {
 				out.Servers = append(out.Servers, server)
+				if duplex {
+					if a.Body, err = passed(stream); err != nil {
+						return broken(err)
+					}
+					<-sent
+				}
 				return p.send(ctx, cancel, stream, a, fields, server, out)
 			}
 			if whole { // it would go on to a cluster of the proxy's own
@@ -199,6 +210,23 @@
 	return nil
 }
 
+// passed reads the body that the processor sends on in place of the one it was sent.
+func passed(stream exchange) (body []byte, err error) {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		part := r.GetRequestBody().GetResponse().GetBodyMutation().GetStreamedResponse()
+		if part == nil {
+			return nil, fmt.Errorf("a reply that is not due: %v", r)
+		}
+		if body = append(body, part.Body...); part.EndOfStream {
+			return body, nil
+		}
+	}
+}
+
 // streamed takes an answer that comes in parts.
 func (p *Proxy) streamed(stream exchange, first *pb.StreamedImmediateResponse) Result {
 	out := Result{Immediate: true, Header: http.Header{}}
