--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,10 +196,11 @@
 	return slices.IndexFunc(p.Classes, func(c Class) bool { return c.Name == name })
 }
 
-type duration struct{ time.Duration }
+// Duration is a time as files have it: "1.4s", "250ms".
+type Duration struct{ time.Duration }
 
 // UnmarshalText reads a time such as "1.4s" or "250ms".
-func (d *duration) UnmarshalText(text []byte) (err error) {
+func (d *Duration) UnmarshalText(text []byte) (err error) {
 	d.Duration, err = time.ParseDuration(string(text))
 	return err
 }
@@ -210,14 +211,14 @@
 		Name      string   `toml:"name" json:"name"`
 		Effect    string   `toml:"effect" json:"effect"`
 		Scope     string   `toml:"scope" json:"scope"`
-		Window    duration `toml:"window" json:"window"`
-		Deadline  duration `toml:"deadline" json:"deadline"`
-		Aim       duration `toml:"aim" json:"aim"`
+		Window    Duration `toml:"window" json:"window"`
+		Deadline  Duration `toml:"deadline" json:"deadline"`
+		Aim       Duration `toml:"aim" json:"aim"`
 		Worth     float64  `toml:"worth" json:"worth"`
 		LateWorth float64  `toml:"late_worth" json:"late_worth"`
-		Progress  duration `toml:"progress" json:"progress"`
-		Stream    duration `toml:"stream" json:"stream"`
-		Drain     duration `toml:"stream_drain" json:"stream_drain"`
+		Progress  Duration `toml:"progress" json:"progress"`
+		Stream    Duration `toml:"stream" json:"stream"`
+		Drain     Duration `toml:"stream_drain" json:"stream_drain"`
 	} `toml:"class" json:"classes"`
 	Tenant []struct {
 		Name      string  `toml:"name" json:"name"`
@@ -259,12 +260,12 @@
 	Trust       []string `toml:"trust"`
 	Forwarded   bool     `toml:"forwarded"`
 	Proxy       string   `toml:"proxy_protocol"`
-	Drain       duration `toml:"drain"`
+	Drain       Duration `toml:"drain"`
 	TLS         bool     `toml:"tls"`
 	ClientRoots string   `toml:"client_roots"`
 	ClientNeeds bool     `toml:"client_required"`
 	MaxHead     *int     `toml:"max_head_kb"`
-	Stall       duration `toml:"client_stall"`
+	Stall       Duration `toml:"client_stall"`
 	Resets      *int     `toml:"http2_resets_per_s"`
 	Controls    *int     `toml:"http2_controls_per_s"`
 	Pieces      *int     `toml:"http2_head_pieces"`
@@ -276,17 +277,17 @@
 	Keys     struct {
 		Folder string   `toml:"folder"`
 		First  string   `toml:"first"`
-		Poll   duration `toml:"poll"`
+		Poll   Duration `toml:"poll"`
 	} `toml:"keys"`
 	Upstream struct {
 		Connections    int      `toml:"connections"`
-		Idle           duration `toml:"idle"`
-		ConnectTimeout duration `toml:"connect_timeout"`
+		Idle           Duration `toml:"idle"`
+		ConnectTimeout Duration `toml:"connect_timeout"`
 	} `toml:"upstream"`
 	Files struct {
 		Clusters string   `toml:"clusters"`
 		MaxShare float64  `toml:"max_removed_share"`
-		Poll     duration `toml:"poll"`
+		Poll     Duration `toml:"poll"`
 	} `toml:"files"`
 	XDS struct {
 		Servers    []string `toml:"servers"`
@@ -311,9 +312,9 @@
 		Message     int      `toml:"max_message_kb"`
 		Answer      int      `toml:"max_answer_kb"`
 		Buffer      int64    `toml:"buffer_mb"`
-		First       duration `toml:"first_message"`
-		Report      duration `toml:"report"`
-		Drain       duration `toml:"drain"`
+		First       Duration `toml:"first_message"`
+		Report      Duration `toml:"report"`
+		Drain       Duration `toml:"drain"`
 		Override    bool     `toml:"mode_override"`
 		Repeats     int      `toml:"repeats"`
 		RepeatBytes int64    `toml:"repeats_mb"`
@@ -325,16 +326,16 @@
 		Attempts      int      `toml:"attempts"`
 		SecondCopies  bool     `toml:"second_copies"`
 		Cancel        bool     `toml:"cancel"`
-		MaxRetryAfter duration `toml:"max_retry_after"`
+		MaxRetryAfter Duration `toml:"max_retry_after"`
 	} `toml:"limits"`
 	Fleet struct {
 		Nodes        int      `toml:"nodes"`
 		Node         int      `toml:"node"`
 		Zone         string   `toml:"zone"`
 		ColdFrom     float64  `toml:"cold_from"`
-		ColdFor      duration `toml:"cold_for"`
+		ColdFor      Duration `toml:"cold_for"`
 		FallMultiple float64  `toml:"fall_multiple"`
-		FallFor      duration `toml:"fall_for"`
+		FallFor      Duration `toml:"fall_for"`
 	} `toml:"fleet"`
 	classFile
 	Host []struct {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -33,72 +33,64 @@
 	Service    float64 // the least that is expected
 }
 
-type duration struct{ time.Duration }
-
-// UnmarshalText reads a time such as "1.4s".
-func (d *duration) UnmarshalText(text []byte) (err error) {
-	d.Duration, err = time.ParseDuration(string(text))
-	return err
-}
-
 type file struct {
-	Name    string   `toml:"name"`
-	Says    string   `toml:"says"`
-	Seed    uint64   `toml:"seed"`
-	Length  duration `toml:"length"`
-	Nodes   int      `toml:"nodes"`
-	Servers int      `toml:"servers"`
-	Delay   duration `toml:"delay"`
-	News    duration `toml:"news"`
+	Name    string          `toml:"name"`
+	Says    string          `toml:"says"`
+	Seed    uint64          `toml:"seed"`
+	Length  config.Duration `toml:"length"`
+	Nodes   int             `toml:"nodes"`
+	Servers int             `toml:"servers"`
+	Delay   config.Duration `toml:"delay"`
+	News    config.Duration `toml:"news"`
 	Kind    struct {
-		Cores        int      `toml:"cores"`
-		Speed        float64  `toml:"speed"`
-		Queue        int      `toml:"queue"`
-		Crowd        float64  `toml:"crowd"`
-		ColdFrom     float64  `toml:"cold_from"`
-		ColdFor      duration `toml:"cold_for"`
-		FallMultiple float64  `toml:"fall_multiple"`
-		FallFor      duration `toml:"fall_for"`
-		Window       duration `toml:"window"`
+		Cores        int             `toml:"cores"`
+		Speed        float64         `toml:"speed"`
+		Queue        int             `toml:"queue"`
+		Crowd        float64         `toml:"crowd"`
+		ColdFrom     float64         `toml:"cold_from"`
+		ColdFor      config.Duration `toml:"cold_for"`
+		FallMultiple float64         `toml:"fall_multiple"`
+		FallFor      config.Duration `toml:"fall_for"`
+		Window       config.Duration `toml:"window"`
 	} `toml:"kind"`
 	Limits struct {
-		Attempts      int      `toml:"attempts"`
-		SecondCopies  bool     `toml:"second_copies"`
-		Cancel        bool     `toml:"cancel"`
-		MaxRetryAfter duration `toml:"max_retry_after"`
+		Attempts      int             `toml:"attempts"`
+		SecondCopies  bool            `toml:"second_copies"`
+		Cancel        bool            `toml:"cancel"`
+		MaxRetryAfter config.Duration `toml:"max_retry_after"`
 	} `toml:"limits"`
 	Class []struct {
-		Name      string   `toml:"name"`
-		Effect    string   `toml:"effect"`
-		Window    duration `toml:"window"`
-		Deadline  duration `toml:"deadline"`
-		Aim       duration `toml:"aim"`
-		Worth     float64  `toml:"worth"`
-		LateWorth float64  `toml:"late_worth"`
-		Work      duration `toml:"work"`
-		CV        float64  `toml:"cv"`
-		Tail      float64  `toml:"tail"`
-		Rate      float64  `toml:"rate"`
+		Name      string          `toml:"name"`
+		Effect    string          `toml:"effect"`
+		Window    config.Duration `toml:"window"`
+		Deadline  config.Duration `toml:"deadline"`
+		Aim       config.Duration `toml:"aim"`
+		Worth     float64         `toml:"worth"`
+		LateWorth float64         `toml:"late_worth"`
+		Work      config.Duration `toml:"work"`
+		CV        float64         `toml:"cv"`
+		Tail      float64         `toml:"tail"`
+		Rate      float64         `toml:"rate"`
 	} `toml:"class"`
 	Clients struct {
-		Retries int      `toml:"retries"`
-		Wait    duration `toml:"wait"`
-		Honest  float64  `toml:"honest"`
+		Retries int             `toml:"retries"`
+		Wait    config.Duration `toml:"wait"`
+		Honest  float64         `toml:"honest"`
 	} `toml:"clients"`
 	Load []struct {
-		At    duration `toml:"at"`
-		Value float64  `toml:"value"`
+		At    config.Duration `toml:"at"`
+		Value float64         `toml:"value"`
 	} `toml:"load"`
 	Trouble []struct {
-		From   duration `toml:"from"`
-		To     duration `toml:"to"`
-		First  int      `toml:"first"`
-		Last   int      `toml:"last"`
-		Down   bool     `toml:"down"`
-		Drain  bool     `toml:"drain"`
-		Slow   float64  `toml:"slow"`
-		Silent bool     `toml:"silent"`
-		Fail   float64  `toml:"fail"`
+		From   config.Duration `toml:"from"`
+		To     config.Duration `toml:"to"`
+		First  int             `toml:"first"`
+		Last   int             `toml:"last"`
+		Down   bool            `toml:"down"`
+		Drain  bool            `toml:"drain"`
+		Slow   float64         `toml:"slow"`
+		Silent bool            `toml:"silent"`
+		Fail   float64         `toml:"fail"`
 	} `toml:"trouble"`
 	Expect struct {
 		Service float64 `toml:"service"`
@@ -123,7 +115,7 @@
 			report(table, index, key, "%v is not from %v to %v", v, least, most)
 		}
 	}
-	span := func(table string, index int, key string, d duration, least, most time.Duration) {
+	span := func(table string, index int, key string, d config.Duration, least, most time.Duration) {
 		if d.Duration < least || d.Duration > most {
 			report(table, index, key, "%v is not from %v to %v", d, least, most)
 		}
@@ -142,7 +134,7 @@
 	if k.ColdFor.Duration > 0 || k.ColdFrom != 0 {
 		number("kind", -1, "cold_from", k.ColdFrom, 0.001, 1)
 	}
-	for key, d := range map[string]duration{"cold_for": k.ColdFor, "fall_for": k.FallFor, "window": k.Window} {
+	for key, d := range map[string]config.Duration{"cold_for": k.ColdFor, "fall_for": k.FallFor, "window": k.Window} {
 		span("kind", -1, key, d, 0, time.Hour)
 	}
 	number("limits", -1, "attempts", float64(f.Limits.Attempts), 1, 16)
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -282,8 +282,11 @@
 			if honest {
 				wait = max(wait, after)
 			}
-			time.Sleep(wait)
-			continue
+			select {
+			case <-time.After(wait): // the client's own
+				continue
+			case <-ctx.Done():
+			}
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
