Give a request whose body never comes its answer; name no server once its time is up

Cause: whole (internal/extproc/carry.go) ended the exchange with an error at the request's deadline, since the watch's end takes the stream with it; the rig had no requests that ran out of time and could not see it. A server could be named some ms late where the engine was busy, as await asked its gate alone.

Change: nextBy leaves the exchange open for the final answer; await looks at the time. The rig gives a tenth of its requests 11 to 20 ms, waits longer than any deadline, and holds a key's second execution against refusals alone. TestParts, TestBodyNeverComes, a look at reflection.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -90,8 +90,9 @@
 // drainRule is how long after word of a drain nothing new may go to a server.
 const drainRule = 500 * time.Millisecond
 
-// patience is for how long what the callers left may be open.
-const patience = 10 * time.Second
+// patience is how long a caller waits, beyond every class's deadline: whether an answer is in time is held
+// where it is given, and not by how fast this process is. What callers left may be open as long.
+const patience = 30 * time.Second
 
 // Options are what a run may be told.
 type Options struct {
@@ -104,7 +105,7 @@
 // Run plays a run. Findings are what must not be; the error is of the rig itself.
 func Run(ctx context.Context, o Options) (found []string, err error) {
 	const servers = 6
-	r := &rig{Options: o}
+	r := &rig{Options: o, again: map[string]bool{}}
 	for i := range servers + 1 {
 		b, err := appbox.Start(fmt.Sprintf("box-%d", i))
 		if err != nil {
@@ -129,6 +130,11 @@
 	}
 	running, stop := context.WithCancel(ctx)
 	processor := a.NewProcessor(r.program.ExtProc)
+	processor.Named = func(id, address string, left time.Duration) {
+		if left <= 0 {
+			r.broken("%s was named %s %v after its time was up", id, address, -left)
+		}
+	}
 	var serving sync.WaitGroup
 	serving.Go(func() {
 		if err := a.ServeProcessor(running, l, processor, r.program.ExtProc); err != nil {
@@ -166,7 +172,8 @@
 
 	mu    sync.Mutex
 	found []string
-	told  [16]time.Time // by place in boxes: since when one drains; zero: it does not
+	again map[string]bool // keys whose request was refused: the module's word that again does no harm
+	told  [16]time.Time   // by place in boxes: since when one drains; zero: it does not
 }
 
 // most is how many findings are told.
@@ -303,7 +310,7 @@
 		path = "/pick" + path
 	}
 	id := fmt.Sprintf("%s-%d", kind, n)
-	a := proxy.Ask{Method: http.MethodPost, Path: path + "x", Timeout: 5 * time.Second, Header: http.Header{"X-Request-Id": {id}}}
+	a := proxy.Ask{Method: http.MethodPost, Path: path + "x", Timeout: patience, Header: http.Header{"X-Request-Id": {id}}}
 	if p.Mode == filterv3.ProcessingMode_NONE {
 		a.Method = http.MethodGet
 	} else {
@@ -312,6 +319,9 @@
 	if kind == "push" {
 		a.Header.Set("Idempotency-Key", id)
 	}
+	if rng.IntN(10) == 0 { // hardly any time, by its own word: the caller waits longer, and sees what comes late
+		a.Header.Set("X-Timeout-Ms", fmt.Sprint(11+rng.IntN(10)))
+	}
 	if rng.IntN(10) == 0 {
 		a.Fault = []proxy.Fault{proxy.LeaveEarly, proxy.LeaveLate, proxy.NeverReport, proxy.WrongServer, proxy.HalfClose}[rng.IntN(5)]
 		if a.Fault == proxy.NeverReport {
@@ -321,7 +331,7 @@
 	var both sync.WaitGroup
 	if rng.IntN(5) == 0 { // twice: under the same id, or the same key with another id
 		twin := a
-		twin.Header, twin.Fault = a.Header.Clone(), proxy.None
+		twin.Header, twin.Fault, twin.Timeout = a.Header.Clone(), proxy.None, patience
 		if kind == "push" && rng.IntN(2) == 0 {
 			twin.Header.Set("X-Request-Id", id+".2")
 		}
@@ -344,6 +354,9 @@
 		r.conflicts.Add(1)
 	case out.Status == http.StatusServiceUnavailable:
 		r.refused.Add(1)
+		r.mu.Lock()
+		r.again[a.Header.Get("Idempotency-Key")] = true
+		r.mu.Unlock()
 	case out.Status == http.StatusOK:
 		r.served.Add(1)
 		if a.Fault != proxy.WrongServer && !strings.Contains(string(out.Body), " served "+strings.SplitN(a.Header.Get("X-Request-Id"), ".", 2)[0]) {
@@ -376,7 +389,7 @@
 		if strings.HasPrefix(id, "pay-") && n > 1 {
 			r.broken("%s (unsafe) reached a server %d times", id, n)
 		}
-		if strings.HasSuffix(id, ".2") && ran[strings.TrimSuffix(id, ".2")] > 0 {
+		if key := strings.TrimSuffix(id, ".2"); key != id && ran[key] > 0 && !r.again[key] {
 			r.broken("%s reached a server beside its key's first request", id)
 		}
 	}
--- a/internal/extproc/carry.go
+++ b/internal/extproc/carry.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
 	pb "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
@@ -86,7 +87,10 @@
 		return true, err
 	}
 	for parts := 0; ; {
-		kind, end, err := x.nextWithin(x.end - x.s.Clock.Now())
+		kind, end, late, err := x.nextBy(x.end)
+		if late { // it has not run
+			return true, x.refuse(x.to.MaxRetryAfter)
+		}
 		if err != nil {
 			return true, err
 		}
@@ -119,6 +123,29 @@
 	}
 }
 
+// nextBy is next, for as long as the request has. A late one still gets its final answer, so the exchange
+// goes on; nothing more can be read of it.
+func (x *exchange) nextBy(end time.Duration) (kind Kind, last, late bool, err error) {
+	type step struct {
+		kind Kind
+		last bool
+		err  error
+	}
+	came := make(chan step, 1)
+	go func() { // ends with the exchange
+		kind, last, err := x.next()
+		came <- step{kind, last, err}
+	}()
+	timer := time.NewTimer(end - x.s.Clock.Now())
+	defer timer.Stop()
+	select {
+	case s := <-came:
+		return s.kind, s.last, false, s.err
+	case <-timer.C:
+		return Nothing, false, true, nil
+	}
+}
+
 var errPast = errors.New("the request goes on before its body is through: a carried one's caller has to buffer it (request_body_mode)")
 
 // upload has the body come in parts, which are passed on while they do. end has to be called before
--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -59,6 +59,9 @@
 	Report time.Duration
 	// Override says that the caller heeds mode_override (allow_mode_override).
 	Override bool
+	// Named is told of each server that is named, with what was left of the request's time; nil if nobody
+	// wants to know. It must not block.
+	Named func(id, address string, left time.Duration)
 	// Repeats bounds what is known of requests that must not take effect twice.
 	Repeats repeat.Limits
 }
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	reflectionpb "google.golang.org/grpc/reflection/grpc_reflection_v1"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/structpb"
 
@@ -170,6 +171,76 @@
 	r.quiet()
 }
 
+// Bodies that come in parts while the head waits: messages of gRPC, framed for the server, and a body of
+// STREAMED that is not held back; with fields behind it, or an end of its own. In pick each part is passed.
+func TestParts(t *testing.T) {
+	b := testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%q", body)
+	})
+	r := start(t, []string{b.Addr()})
+	part := func(body string, end, none bool) *pb.ProcessingRequest {
+		return &pb.ProcessingRequest{Request: &pb.ProcessingRequest_RequestBody{
+			RequestBody: &pb.HttpBody{Body: []byte(body), EndOfStream: end, EndOfStreamWithoutMessage: none},
+		}}
+	}
+	trailers := &pb.ProcessingRequest{Request: &pb.ProcessingRequest_RequestTrailers{RequestTrailers: &pb.HttpTrailers{}}}
+	for _, tc := range []struct {
+		name   string
+		config *pb.ProtocolConfiguration
+		parts  []*pb.ProcessingRequest
+		want   string
+	}{
+		{"gRPC", &pb.ProtocolConfiguration{RequestBodyMode: filterv3.ProcessingMode_GRPC}, []*pb.ProcessingRequest{part("abc", false, false), part("", false, false), part("", true, true)},
+			"\x00\x00\x00\x00\x03abc\x00\x00\x00\x00\x00"},
+		{"gRPC, trailers", &pb.ProtocolConfiguration{RequestBodyMode: filterv3.ProcessingMode_GRPC}, []*pb.ProcessingRequest{part("abc", false, false), trailers}, "\x00\x00\x00\x00\x03abc"},
+		{"streamed", &pb.ProtocolConfiguration{RequestBodyMode: filterv3.ProcessingMode_STREAMED, SendBodyWithoutWaitingForHeaderResponse: true},
+			[]*pb.ProcessingRequest{part("abc", false, false), part("def", true, false)}, "abcdef"},
+		{"duplex, trailers", &pb.ProtocolConfiguration{RequestBodyMode: filterv3.ProcessingMode_FULL_DUPLEX_STREAMED},
+			[]*pb.ProcessingRequest{part("abc", false, false), part("def", false, false), trailers}, "abcdef"},
+		{"buffered, trailers", &pb.ProtocolConfiguration{RequestBodyMode: filterv3.ProcessingMode_BUFFERED}, []*pb.ProcessingRequest{part("abc", false, false), trailers}, "abc"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := r.open(t.Context())
+			first := head(false, "/x")
+			first.ProtocolConfig = tc.config
+			s.Send(first)
+			for _, m := range tc.parts {
+				s.Send(m)
+			}
+			var last *pb.ProcessingResponse
+			for {
+				reply, err := s.Recv()
+				if err != nil {
+					break
+				}
+				last = reply
+			}
+			if got := string(last.GetImmediateResponse().GetBody()); got != fmt.Sprintf("%q", tc.want) && string(last.GetStreamedImmediateResponse().GetBodyResponse().GetBody()) != fmt.Sprintf("%q", tc.want) {
+				t.Errorf("the server got %s, not %q", got, tc.want)
+			}
+			s = r.open(t.Context())
+			first = head(false, "/pick/x")
+			first.ProtocolConfig = tc.config
+			s.Send(first)
+			if reply, err := s.Recv(); err != nil || named(reply) == "" {
+				t.Fatalf("%v, %v", reply, err)
+			}
+			for _, m := range tc.parts { // each has its reply, of its kind
+				s.Send(m)
+				reply, err := s.Recv()
+				if err != nil || (m.GetRequestBody() != nil) != (reply.GetRequestBody() != nil) || (m.GetRequestTrailers() != nil) != (reply.GetRequestTrailers() != nil) {
+					t.Errorf("%v gets %v, %v", m, reply, err)
+				}
+			}
+			s.Send(answered("200"))
+			s.Recv()
+			s.CloseSend()
+		})
+	}
+	r.quiet()
+}
+
 // With mode_override heeded the caller is asked to buffer what it would not have sent; in pick it is
 // asked to keep bodies to itself.
 func TestModeOverride(t *testing.T) {
@@ -367,6 +438,24 @@
 	}
 }
 
+// A body that never comes: its request has its final answer when its time is up, not an error.
+func TestBodyNeverComes(t *testing.T) {
+	b, addrs := boxes(t, 1)
+	r := start(t, addrs)
+	s := r.open(t.Context())
+	s.Send(head(false, "/pay/x", "x-timeout-ms", "60"))
+	if reply, err := s.Recv(); err != nil || reply.GetRequestHeaders() == nil {
+		t.Fatalf("%v, %v", reply, err)
+	}
+	if reply, err := s.Recv(); err != nil || reply.GetImmediateResponse().GetStatus().GetCode() != 503 {
+		t.Errorf("%v, %v", reply, err)
+	}
+	r.quiet()
+	if b[0].Count() != 0 {
+		t.Error("it reached a server")
+	}
+}
+
 // Asked twice about the same request: what the second one gets, by way, class, identity and by what
 // became of the first. No server sees the effect twice.
 func TestAskedTwice(t *testing.T) {
@@ -698,6 +787,15 @@
 	if reply, err := watched.Recv(); err != io.EOF {
 		t.Errorf("an observer gets %v, %v", reply, err)
 	}
+	services, err := reflectionpb.NewServerReflectionClient(r.conn).ServerReflectionInfo(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	services.Send(&reflectionpb.ServerReflectionRequest{MessageRequest: &reflectionpb.ServerReflectionRequest_ListServices{}})
+	if reply, err := services.Recv(); err != nil || !strings.Contains(reply.String(), "envoy.service.ext_proc.v3.ExternalProcessor") {
+		t.Errorf("reflection: %v, %v", reply, err)
+	}
+	services.CloseSend()
 	health, err := healthpb.NewHealthClient(r.conn).Watch(t.Context(), &healthpb.HealthCheckRequest{})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/extproc/pick.go
+++ b/internal/extproc/pick.go
@@ -219,6 +219,11 @@
 			a.mu.Lock()
 			// Once the engine was told that the server drains, nothing is named any more: the
 			// caller's send comes after this, and the rule counts for it.
+			// Nor once the request's time is up, which the engine may not have come to yet.
+			left := x.end - x.s.Clock.Now()
+			if left <= 0 {
+				o.call.Revoke()
+			}
 			if !o.call.BeginUndrained() {
 				a.mu.Unlock()
 				o.outcome <- policy.Moot
@@ -228,6 +233,9 @@
 			a.out = true
 			a.waiting--
 			a.mu.Unlock()
+			if x.s.Named != nil {
+				x.s.Named(x.terms.ID, o.address, left)
+			}
 			return o, nil
 		case <-a.over:
 			left()
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -184,7 +184,7 @@
 			if whole { // it would go on to a cluster of the proxy's own
 				return broken(errors.New("the processor named no server"))
 			}
-			if err := p.body(stream, a.Body, len(a.Body)); err != nil {
+			if err := p.body(stream, a.Body, len(a.Body)); err != nil && err != io.EOF { // answered meanwhile: see Recv
 				return broken(err)
 			}
 		default:
