Know why an upload ended before its request is answered

Cause: net/http ends the request's context before the body's Read returns, so the handler could look for the reason before Run had noted it; on busy cores TestListenerBounds got no 408 once in some runs.

Change: a request that ended for its client's side waits for its upload's end first.

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -203,18 +203,20 @@
 	f.asked.Store(time.Now().UnixNano())
 	// net/http goes on reading, to see the client leave. The deadline of the
 	// request's own bytes would look like that.
-	ctx := r.Context()
+	ctx, settled := r.Context(), func() {}
 	if payload.Upload == nil {
 		control.SetReadDeadline(time.Time{})
 	} else {
 		control.EnableFullDuplex() // an answer may begin before the body's end
-		var done func()
-		ctx, done = take(ctx, control, payload.Upload, r.Header.Get("Expect") != "")
-		defer done()
+		ctx, settled = take(ctx, control, payload.Upload, r.Header.Get("Expect") != "")
+		defer settled()
 	}
 	a, err := to.Cluster.Do(ctx, q)
 	f.disclaim(id)
 	if u := payload.Upload; u != nil {
+		if err != nil {
+			settled() // why the client's side ended may not be noted yet
+		}
 		// net/http takes the end of a read's time for the client's end; such a client is there.
 		broken := u.Failed()
 		if here := r.Context().Err() == nil || errors.Is(broken, os.ErrDeadlineExceeded); here && broken != nil && (err != nil || a.Verdict != engine.Served) {
@@ -631,8 +633,8 @@
 	return n, err
 }
 
-// take has an upload come. Its context ends where the client's side breaks; done has to be
-// called before the request's handler returns.
+// take has an upload come. Its context ends where the client's side breaks; done ends it, and has to be
+// called before the request's handler returns; again: nothing.
 func take(ctx context.Context, control *http.ResponseController, u *httpup.Upload, patient bool) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	over := make(chan struct{})
@@ -646,14 +648,14 @@
 	if !patient {
 		u.Settle(httpup.UploadPause)
 	}
-	return ctx, func() {
+	return ctx, sync.OnceFunc(func() {
 		u.Close()
 		if !u.Done() {
 			control.SetReadDeadline(time.Unix(1, 0)) // ends a Read that waits for the client
 		}
 		<-over
 		cancel()
-	}
+	})
 }
 
 // uploadFault says what a client did to its request's body.
