Take any answer with Retry-After for a refusal in the rig of callers

A refused request's client may get the server's own last word, a 500 say, with the wait. The rig then held its key's second execution against the program.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -345,6 +345,11 @@
 
 // count books a request's final answer.
 func (r *rig) count(out proxy.Result, a proxy.Ask) {
+	if out.Header.Get("Retry-After") != "" { // whatever the status: it may be a server's own last word
+		r.mu.Lock()
+		r.again[a.Header.Get("Idempotency-Key")] = true
+		r.mu.Unlock()
+	}
 	switch {
 	case out.Status == 0 && a.Fault == proxy.None:
 		r.broken("%s %s: no final answer: %v", a.Header.Get("X-Request-Id"), a.Path, out.Err)
@@ -354,9 +359,6 @@
 		r.conflicts.Add(1)
 	case out.Status == http.StatusServiceUnavailable:
 		r.refused.Add(1)
-		r.mu.Lock()
-		r.again[a.Header.Get("Idempotency-Key")] = true
-		r.mu.Unlock()
 	case out.Status == http.StatusOK:
 		r.served.Add(1)
 		if a.Fault != proxy.WrongServer && !strings.Contains(string(out.Body), " served "+strings.SplitN(a.Header.Get("X-Request-Id"), ".", 2)[0]) {
