--- a/internal/app/bounds_test.go
+++ b/internal/app/bounds_test.go
@@ -1,9 +1,11 @@
 package app
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -41,3 +43,36 @@
 	io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n") // and takes nothing
 	testkit.Wait(t, over, "the stream to end at its server")
 }
+
+// A client that renegotiates (TLS 1.2) is ended with an alert, and the next one is served. Go's client can't
+// begin a renegotiation, so OpenSSL's does where it is installed; it is ended if it waits.
+func TestRenegotiation(t *testing.T) {
+	openssl, err := exec.LookPath("openssl")
+	if err != nil {
+		t.Skip("openssl is not installed")
+	}
+	b := testkit.Box(t, "b")
+	keys, authority := matrixKeys(t)
+	c := newCellTo(t, webpeer.Wire{TLS: true}, webpeer.Wire{}, keys, authority, config.Listener{}, b.Addr())
+	ctx, cancel := context.WithTimeout(t.Context(), testkit.Patience)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, openssl, "s_client", "-connect", c.addr, "-tls1_2")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close() // its end would end the client by itself
+	var out strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(in, "R\n") // its command to renegotiate
+	cmd.Wait()
+	if text := out.String(); ctx.Err() != nil || !strings.Contains(text, "RENEGOTIATING") || !strings.Contains(text, "alert") {
+		t.Errorf("%v: %s", ctx.Err(), text)
+	}
+	if resp, _, err := c.ask("GET", "/x", "", nil, 0); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the next client: %v, %v", resp, err)
+	}
+}
