--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -16,6 +16,8 @@
 func newSteered(t *testing.T) (*rig, *Balancer) {
 	r := newRig(t, testSettings(), 4)
 	r.b.typical, r.b.steered = 0.1, r.now
+	r.b.refresh(r.now)
+	r.b.out = int(r.b.limit) * len(r.b.mine) // and servers hold what they may
 	r.b.held = append(r.b.held, &request{done: true}) // someone waits
 	return r, r.b
 }
@@ -37,6 +39,50 @@
 	}
 }
 
+// Guards against many nodes that each grow their bound in bursts of their own, which come at
+// different times, and then all use it at once: what is proven is what servers hold by all
+// nodes together. A node alone proves its bound by its own requests.
+func TestBoundGrowsToWhatAllNodesProve(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		sharers      float64
+		out          int     // own at present, in a burst
+		mean         float64 // of them over a while
+		least, below float64 // the bound after a long burst
+	}{
+		{"alone", 1, 48, 4, 20, 30},
+		{"among many that are calm", 7, 12, 4, 2.9, 20},
+		{"among many that are as full", 7, 12, 12, 30, 100},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, b := newSteered(t)
+			b.sharers, b.out, b.meanOut = tc.sharers, tc.out, tc.mean
+			steerFor(b, r.now, 30*time.Second, 0)
+			if b.limit < tc.least || b.limit > tc.below {
+				t.Errorf("bound %.1f, want %g to %g", b.limit, tc.least, tc.below)
+			}
+		})
+	}
+}
+
+// Guards against a bound that doubles before the answers that would show a crowd have come:
+// a node with few answers learns of it that much later.
+func TestBoundWaitsForWhatAnswersTell(t *testing.T) {
+	grown := func(answers int) float64 {
+		r, b := newSteered(t)
+		b.out = 1000
+		from := b.limit
+		for i := range answers {
+			b.steer(r.now + time.Duration(i+1)*time.Second/time.Duration(answers))
+		}
+		return b.limit / from
+	}
+	few, many := grown(8), grown(200)
+	if few > 1.1 || many < 2 {
+		t.Errorf("in a second the bound grew %.2f times with 8 answers and %.2f times with 200", few, many)
+	}
+}
+
 // Guards against servers that get less done the more they hold, and against a fleet
 // that is slow as a whole starving itself.
 func TestBoundShrinksInACrowdButNotFarBelowWhatWasGood(t *testing.T) {
@@ -56,7 +102,7 @@
 // each true to a bound that was good before: the servers could never rest.
 func TestThinNodesLetCrowdedServersRest(t *testing.T) {
 	r, b := newSteered(t)
-	b.crowded, b.limit, b.limitKnown, b.sharers = true, 8, 8, 2*fewSharers
+	b.crowded, b.limit, b.limitKnown, b.set.Nodes = true, 8, 8, fewNodes+1
 	steerFor(b, r.now, 10*time.Second, 1)
 	if b.limit > 1 {
 		t.Fatalf("bound %v after 10 s in a crowd, want under one request a server", b.limit)
@@ -153,7 +199,7 @@
 // Guards against the overshoot of the start's fast growth, which answers reveal late.
 func TestFirstCrowdTakesTheBoundBackAtOnce(t *testing.T) {
 	r, b := newSteered(t)
-	b.limit, b.sharers = 10, 2*fewSharers
+	b.limit, b.set.Nodes = 10, fewNodes+1
 	steerFor(b, r.now, 10*ms, 1)
 	if b.limit > 7 {
 		t.Fatalf("bound %v after the first sign of a crowd, want well below 10", b.limit)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,10 +29,12 @@
 	crowdingAim    = 0.3             // log of latency over a lone request's that the bound steers to
 	limitUp        = 0.025           // growth of the bound in a typical latency, while requests wait for it
 	startFaster    = 6.0             // times that until servers were crowded for the first time
+	provenMost     = 2.0             // times what servers are known to hold that the bound may grow to
+	crowdingOver   = 32.0            // answers that crowding is averaged over; growth waits for them
 	limitDown      = 0.1             // its shrinking in a typical latency for each unit of excess
 	restLimit      = 0.5             // requests a server that a thin node's bound may fall to: servers rest
 	limitFor       = 60.0            // seconds over which a bound that was known to be good is forgotten
-	fewSharers     = 8.0             // nodes at a server up to which each one's own requests tell its load
+	fewNodes       = 8               // up to which each one's own requests tell the servers' load
 	meanOutSpan    = 1.0             // seconds over which a thin node's requests in flight are averaged
 	shedMarginThin = 2.5             // times the expected latency that must fit where others' waits go unseen
 	shareLeast     = 4               // closed servers that a node uses at least
@@ -90,8 +92,9 @@
 	b.sharers = max(1, float64(b.set.Nodes)*float64(len(b.mine))/float64(max(1, n)))
 }
 
-// thin tells whether so many nodes share a server that this one sees little of its load.
-func (b *Balancer) thin() bool { return b.sharers > fewSharers }
+// thin tells whether there are so many nodes that each one sees little of the servers' load.
+// It is not the sharers of a server that count: they come and go with the node's traffic.
+func (b *Balancer) thin() bool { return b.set.Nodes > fewNodes }
 
 // coldShare is the share of its capacity that a server has at least.
 func (b *Balancer) coldShare(s *server, now time.Duration) float64 {
@@ -235,7 +238,8 @@
 		}
 		b.limit = max(least, b.limit*(1-limitDown*min(excess, step)*rounds))
 		b.limitKnown *= 1 - seconds/limitFor
-	case len(b.held) > 0:
+	case len(b.held) > 0 && b.limit < provenMost*b.proven():
+		rounds = min(rounds, 2/crowdingOver)
 		if !b.crowded {
 			rounds *= startFaster
 		}
@@ -244,6 +248,14 @@
 	}
 }
 
+// proven is how many requests a server is known to hold: this node's own at present, and
+// from each other node that shares it as many as this one has on average, since the others'
+// bursts come at other times. A node among few proves its bound by its own; among many,
+// bounds that each had grown in bursts of its own would be used by all of them at once.
+func (b *Balancer) proven() float64 {
+	return (float64(b.out) + b.meanOut*(b.sharers-1)) / max(1, float64(len(b.mine)))
+}
+
 // ---- the pick
 
 // maySend is the one gate for every attempt. It keeps the rules: nothing after
--- a/policy/state.go
+++ b/policy/state.go
@@ -441,5 +441,5 @@
 		a.server.loneSeen = min(a.server.loneSeen+1, 16)
 		a.server.lone += (relative - a.server.lone) / (a.server.loneSeen + b.sharers)
 	}
-	b.crowding += (relative - a.server.lone - b.crowding) / 32
+	b.crowding += (relative - a.server.lone - b.crowding) / crowdingOver
 }
