Take of discovery's answers the lines that can be trusted, by a stated rule

Need: where discovery is overbooked it breaks off answers and sends some that can't be read. One wrong type in one line refused the whole list, an absurd figure in a line was taken (a start far ahead kept its server cold for good), and 8 MB of a list would not fit a node of 32.

internal/registry (pure) parses an answer line by line. A drain counts whatever else is wrong with its line; a line that can't be trusted leaves its server as known; one without an id leaves the list incomplete, so that nobody is gone by it; what is cut short changes nothing. An answer in doubt is followed, and the whole list asked for again after 0.5 s, doubled up to a minute: a line may stay wrong for good, and lists have a price. Lists are bounded by 2 MB and 10,000 lines.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,7 +28,7 @@
 	Discovery      string // address of discovery
 	Seed           uint64
 	Limits         Limits
-	Known          registry // the list as this node last had it
+	Known          known // the list as this node last had it
 	Policy         policy.Settings
 	Classes        map[string]int // name to index in Policy.Classes
 	Tenants        map[string]int // name to index in Policy.Tenants
@@ -101,7 +101,7 @@
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        Limits
-		Known                         registry
+		Known                         known
 		Settings                      json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -14,6 +12,7 @@
 
 	"yokestall/internal/engine"
 	"yokestall/internal/httpup"
+	"yokestall/internal/registry"
 	"yokestall/policy"
 )
 
@@ -23,43 +22,16 @@
 	watchPause   = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
 	backoffFirst = 100 * time.Millisecond
 	backoffMost  = time.Second
-	maxList      = 8 << 20 // bytes of a list
+	recheckFirst = 500 * time.Millisecond // until the whole list is asked for after a doubtful answer
+	recheckMost  = time.Minute
+	maxRefusal   = 4 << 10 // bytes read of an answer that is none
 )
 
-// registry is discovery's list, or what changed in it.
-type registry struct {
-	Generation uint64     `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []instance `json:"instances"`
-}
-
-// instance is a line of the list.
-type instance struct {
-	InstanceID  string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	Cell        int     `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMs float64 `json:"startedAtMs"`
-}
-
-// id is the same at every node, which the module's ring of servers relies on.
-func (in *instance) id() policy.ServerID {
-	h := fnv.New64a()
-	io.WriteString(h, in.InstanceID)
-	return policy.ServerID(h.Sum64())
-}
-
-// state takes a word that it doesn't know for one that allows nothing new.
-func (in *instance) state() policy.State {
-	switch in.Lifecycle {
-	case "Ready":
-		return policy.Ready
-	case "Gone":
-		return policy.Gone
-	}
-	return policy.Draining
+// known is the list as a node last had it, as its configuration holds it.
+type known struct {
+	Generation uint64          `json:"generation"`
+	Reset      bool            `json:"reset"`
+	Instances  []registry.Line `json:"instances"`
 }
 
 // discovery follows the list of servers.
@@ -72,6 +44,10 @@
 	moved      <-chan string // the latest address to follow the list at
 	listed     bool          // a list is at hand; its generation may well be 0
 	generation uint64
+	list       registry.Known
+	pace       registry.Pace // after failures
+	recheck    registry.Pace // after answers in doubt
+	recheckAt  time.Time     // when all is asked for again; zero: no need
 	client     *http.Client
 	clock      engine.Clock
 	log        *slog.Logger
@@ -87,9 +63,11 @@
 	return &discovery{
 		url: listURL(cfg.Discovery), zones: cfg.Zones, moved: moved,
 		asked: cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
-		clock:  clock,
-		log:    log,
+		pace:    registry.Pace{First: backoffFirst, Most: backoffMost},
+		recheck: registry.Pace{First: recheckFirst, Most: recheckMost},
+		client:  &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
+		clock:   clock,
+		log:     log,
 	}
 }
 
@@ -106,11 +84,11 @@
 // run starts from the list as it was known and follows it until the context
 // ends. When discovery moves, the watch at the old address ends and the new one
 // is asked for the whole list; the node serves by the old list meanwhile.
-func (d *discovery) run(ctx context.Context, known registry, ready func()) {
-	d.generation = known.Generation
-	d.listed = len(known.Instances) > 0
+func (d *discovery) run(ctx context.Context, last known, ready func()) {
+	d.generation = last.Generation
+	d.listed = len(last.Instances) > 0
 	if d.listed {
-		d.tell(policy.ListCached, known.Instances)
+		d.tell(policy.ListCached, d.list.Whole(&registry.Answer{Reset: true, Lines: last.Instances}))
 		ready()
 	} else if d.asked {
 		d.tell(policy.ListCached, nil) // has the module ask for the list
@@ -139,7 +117,6 @@
 
 // follow watches the list at one address until the context ends.
 func (d *discovery) follow(ctx context.Context, watching bool, ready func()) {
-	delay := backoffFirst
 	for ctx.Err() == nil {
 		if !watching {
 			select {
@@ -149,26 +126,23 @@
 			}
 		}
 		asked := time.Now()
-		list, err := d.get(ctx)
+		answer, err := d.get(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
-			delay, watching = backoffFirst, true
-			d.listed, d.generation = true, list.Generation
-			switch {
-			case list.Reset:
-				d.tell(policy.ListFull, list.Instances)
-			case len(list.Instances) > 0:
-				d.tell(policy.ListDelta, list.Instances)
+			d.take(answer)
+			if answer.Doubt == nil || d.list.Serves() {
+				ready()
 			}
-			ready()
+			d.pace.Good()
+			watching = true
 			if time.Since(asked) < watchPause {
 				// A discovery that doesn't wait must not be asked in a loop without a breath.
 				pause(ctx, watchPause)
 			}
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
 		d.log.Warn("discovery failed", "err", err)
 		if d.asked {
 			watching = false
@@ -176,8 +150,29 @@
 			continue
 		}
 		// Nodes that lost discovery together must not come back in step.
-		pause(ctx, delay/2+rand.N(delay/2))
-		delay = min(2*delay, backoffMost)
+		pause(ctx, d.pace.Failed(rand.Float64()))
+	}
+}
+
+// take follows an answer. Where lines of it are in doubt the whole list is asked for after a
+// while; the watch goes on until then, since a line may stay as it is for good.
+func (d *discovery) take(a *registry.Answer) {
+	d.listed, d.generation = true, a.Generation
+	switch {
+	case a.Doubt != nil:
+		wait := d.recheck.Failed(rand.Float64())
+		d.recheckAt = time.Now().Add(wait)
+		d.log.Warn("list in doubt", "err", a.Doubt, "asked again after", wait)
+	case a.Reset:
+		d.recheck.Good()
+		d.recheckAt = time.Time{}
+	}
+	lines := d.list.Whole(a)
+	switch {
+	case a.Reset:
+		d.tell(policy.ListFull, lines)
+	case len(lines) > 0:
+		d.tell(policy.ListDelta, lines)
 	}
 }
 
@@ -190,60 +185,57 @@
 
 // get asks for what is newer than the list at hand, and waits for it. With no
 // list at hand it asks for all.
-func (d *discovery) get(ctx context.Context) (registry, error) {
-	var list registry
+func (d *discovery) get(ctx context.Context) (*registry.Answer, error) {
 	url, wait := d.url, watchSlack
-	if d.listed {
-		wait += watchWait
+	span := watchWait
+	if !d.recheckAt.IsZero() {
+		span = min(span, time.Until(d.recheckAt))
+	}
+	whole := !d.listed || span <= 0
+	if !whole {
+		wait += span
 		url += "?after=" + strconv.FormatUint(d.generation, 10) +
-			"&wait_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+			"&wait_ms=" + strconv.FormatInt(max(1, span.Milliseconds()), 10)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list, err
+		return nil, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return list, err
+		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
-	if err != nil {
-		return list, err
-	}
 	if resp.StatusCode != http.StatusOK {
-		return list, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	if err := json.Unmarshal(text, &list); err != nil {
-		return list, fmt.Errorf("list: %w", err)
+		io.CopyN(io.Discard, resp.Body, maxRefusal) // the connection may be of use again
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	if !d.listed {
-		list.Reset = true // it was asked for all
+	text, err := io.ReadAll(io.LimitReader(resp.Body, registry.MaxBytes+1))
+	if err != nil {
+		return nil, err
 	}
-	return list, nil
+	return registry.Parse(text, whole, time.Now())
 }
 
-// tell passes a list on. Lines with no id, or no address where one is needed, are left out.
-func (d *discovery) tell(kind policy.ListKind, list []instance) {
-	var servers []httpup.Server
-	var entries []policy.Entry
-	for _, in := range list {
-		state := in.state()
-		if in.InstanceID == "" || (in.HostPort == "" && state == policy.Ready) {
-			continue
-		}
+// tell passes a list on.
+func (d *discovery) tell(kind policy.ListKind, list []registry.Line) {
+	servers := make([]httpup.Server, 0, len(list))
+	entries := make([]policy.Entry, 0, len(list))
+	for i := range list {
+		in := &list[i]
+		state := in.State()
 		zone, ok := d.zones[in.Zone]
 		if !ok {
 			zone = len(d.zones) // no zone of ours
 		}
 		servers = append(servers, httpup.Server{
-			ID: in.id(), Address: in.HostPort, Start: in.StartedAtMs, Gone: state == policy.Gone,
+			ID: in.ID(), Address: in.HostPort, Start: in.StartedAtMs, Gone: state == policy.Gone,
 		})
 		entries = append(entries, policy.Entry{
-			Server: in.id(), Zone: zone, Cell: in.Cell, State: state,
-			Weight: max(0, in.Weight), Started: d.started(in.StartedAtMs),
+			Server: in.ID(), Zone: zone, Cell: in.Cell, State: state,
+			Weight: in.Weight, Started: d.started(in.StartedAtMs),
 		})
 	}
 	if kind != policy.ListFailed {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"yokestall/internal/registry"
 	"yokestall/internal/testkit"
 )
 
@@ -33,14 +34,14 @@
 type registryStub struct {
 	*httptest.Server
 	mu      sync.Mutex
-	list    []instance
+	list    []registry.Line
 	version int
 	down    bool
 	changed chan struct{} // closed at the next change
 	calls   chan string   // queries as they come, as far as there is room
 }
 
-func newRegistry(t *testing.T, list ...instance) *registryStub {
+func newRegistry(t *testing.T, list ...registry.Line) *registryStub {
 	d := &registryStub{list: list, changed: make(chan struct{}), calls: make(chan string, 4096)}
 	d.Server = httptest.NewServer(d)
 	t.Cleanup(d.Close)
@@ -93,11 +94,11 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	json.NewEncoder(w).Encode(registry{Generation: uint64(d.version), Reset: true, Instances: d.list})
+	json.NewEncoder(w).Encode(known{Generation: uint64(d.version), Reset: true, Instances: d.list})
 }
 
-func instanceAt(b *testkit.Backend, id string) instance {
-	return instance{InstanceID: id, HostPort: b.Addr(), Zone: "a", Lifecycle: "Ready", Weight: 1}
+func instanceAt(b *testkit.Backend, id string) registry.Line {
+	return registry.Line{InstanceID: id, HostPort: b.Addr(), Zone: "a", Lifecycle: "Ready", Weight: 1}
 }
 
 // reset breaks the connection off.
@@ -177,7 +178,7 @@
 // startReady starts a node before the given servers and waits until it is ready.
 func startReady(t *testing.T, backends ...*testkit.Backend) (*running, *registryStub) {
 	t.Helper()
-	var list []instance
+	var list []registry.Line
 	for i, b := range backends {
 		list = append(list, instanceAt(b, fmt.Sprintf("s-%d", i)))
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"yokestall/internal/engine"
 	"yokestall/internal/httpup"
+	"yokestall/internal/registry"
 	"yokestall/internal/testkit"
 )
 
@@ -228,7 +229,7 @@
 	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
 	n, d := startReady(t, a)
 	n.do(n.request("read"))
-	d.change(t, func() { d.list = []instance{instanceAt(b, "s-0")} })
+	d.change(t, func() { d.list = []registry.Line{instanceAt(b, "s-0")} })
 	n.do(n.request("read"))
 	if len(a.Got) != 1 || len(b.Got) != 1 {
 		t.Errorf("%d sends to the old address, %d to the new one", len(a.Got), len(b.Got))
@@ -238,7 +239,7 @@
 // With every breaker open the refusal comes at once and says when to come back.
 func TestEveryServerDown(t *testing.T) {
 	t.Parallel()
-	d := newRegistry(t, instance{InstanceID: "s-0", HostPort: testkit.RefusingAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
+	d := newRegistry(t, registry.Line{InstanceID: "s-0", HostPort: testkit.RefusingAddr(t), Zone: "a", Lifecycle: "Ready", Weight: 1})
 	n := start(t, testConfig(t, d, nil))
 	n.waitReady(http.StatusOK)
 	for try := range 60 {
@@ -313,7 +314,7 @@
 	testkit.Wait(t, d.calls, "a first call")
 	testkit.Wait(t, d.calls, "a call after the failed one")
 	n.waitReady(http.StatusServiceUnavailable)
-	d.set(func() { d.down, d.list = false, []instance{instanceAt(b, "s-0")} })
+	d.set(func() { d.down, d.list = false, []registry.Line{instanceAt(b, "s-0")} })
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
 		t.Errorf("status %d", a.status)
@@ -376,7 +377,7 @@
 	d := newRegistry(t)
 	d.down = true
 	n := start(t, testConfig(t, d, func(file map[string]any) {
-		file["known"] = registry{Generation: 7, Reset: true, Instances: []instance{instanceAt(b, "s-0")}}
+		file["known"] = known{Generation: 7, Reset: true, Instances: []registry.Line{instanceAt(b, "s-0")}}
 	}))
 	n.waitReady(http.StatusOK)
 	if a := n.do(n.request("read")); a.status != http.StatusOK {
@@ -553,7 +554,9 @@
 	lists <- `{"generation":4,"reset":true,"instances":[{},{"instanceId":"s-1","lifecycle":"Ready"},` +
 		`{"instanceId":"s-2","hostPort":"nowhere","lifecycle":"Novel"},` +
 		`{"instanceId":"s-0","hostPort":"` + good.HostPort + `","zone":"far","cell":-1,"lifecycle":"Ready",` +
-		`"weight":-3,"startedAtMs":1.5e12,"novel":[]}]}`
+		`"weight":-3,"startedAtMs":1.5e12,"novel":[]}]}` // in doubt: the whole list is asked for again
+	lists <- `{"generation":5,"reset":true,"instances":[{"instanceId":"s-1","lifecycle":"Ready"},` +
+		`{"instanceId":"s-0","hostPort":"` + good.HostPort + `","zone":"far","lifecycle":"Ready","novel":[]}]}`
 	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case text := <-lists:
