--- a/policy/bound_test.go
+++ b/policy/bound_test.go
@@ -17,7 +17,7 @@
 	r := newRig(t, testSettings(), 4)
 	r.b.typical, r.b.steered = 0.1, r.now
 	r.b.refresh(r.now)
-	r.b.out = int(r.b.limit) * len(r.b.mine) // and servers hold what they may
+	r.b.out = int(r.b.limit) * len(r.b.mine)          // and servers hold what they may
 	r.b.held = append(r.b.held, &request{done: true}) // someone waits
 	return r, r.b
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	fullMost       = 5               // doublings of the pause that a full server gets, from a typical latency
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
+	watchSpread    = 40 * time.Millisecond // for each node: over which the first calls of all are spread
 )
 
 const (
@@ -54,15 +55,21 @@
 // ---- the list of servers
 
 // Members follows the list. Where it must be asked for it is watched, after failures again.
+// All nodes start together at times, and fail together where discovery has too many callers:
+// none asks at once, and the waits differ by half either way.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
 	if kind == ListFailed {
-		b.host.SetTimer(now+b.jitter(b.watchDelay), tokenWatch)
+		b.host.SetTimer(now+b.watchDelay/2+time.Duration(b.rng.Float64()*float64(b.watchDelay)), tokenWatch)
 		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
 		return
 	}
 	b.watchDelay = watchAgain
 	if kind == ListCached && b.set.ListAsked {
-		b.host.WatchList()
+		spread := min(watchSpread*time.Duration(b.set.Nodes), b.set.Rules.MustAsk/4)
+		if len(entries) == 0 { // nothing to serve by meanwhile
+			spread /= 4
+		}
+		b.host.SetTimer(now+time.Duration(b.rng.Float64()*float64(spread)), tokenWatch)
 	}
 	b.list(kind, entries)
 	b.refreshed = -1
