Wait for a connection that has just answered; pause no server for a lone refusal

And for ten seconds a quarter of the attempts was turned away everywhere, whatever was sent. Each pauses its server for a typical latency; a node's six were all paused, and 29 % of the requests were refused at servers that were free. Now the second in a row pauses.

--- a/cmd/yokestall-node/main.go
+++ b/cmd/yokestall-node/main.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// limit keeps the runtime inside the machine. The live heap is small, so it may
-// grow severalfold between collections, up to a part of the memory.
+// limit keeps the runtime inside the machine. The live heap is small: one node among many
+// makes so little garbage that a heap let grow severalfold would grow for minutes.
 func limit(l node.Limits) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
@@ -82,5 +82,5 @@
 	if l.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 7 / 10)
 	}
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(100)
 }
--- a/internal/httpup/httpup.go
+++ b/internal/httpup/httpup.go
@@ -296,11 +296,13 @@
 	// The one used last that has settled: what a server does with a connection
 	// behind an answer, to close it or to send more than belongs to the answer,
 	// takes a moment to show. A request written before that is lost, or would get
-	// what belongs to the former one: nothing in an answer names its request.
+	// what belongs to the former one: nothing in an answer names its request. Where no other
+	// has settled the one left is waited for: to a server that has just answered goes what
+	// waited for it, and a connection opened each time costs both sides a handshake.
 	for n := len(s.idle) - 1; n >= 0; n-- {
 		c := s.idle[n]
 		rested := time.Since(c.since)
-		if rested < u.settle {
+		if rested < u.settle && n > 0 && time.Since(s.idle[n-1].since) <= u.idleFor {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, n, n+1)
@@ -353,6 +355,9 @@
 func (u *Pool) connect(call *engine.Call, id policy.ServerID) (*conn, policy.Status) {
 	c, s, status := u.take(id)
 	if c != nil || status != policy.OK {
+		if c != nil {
+			time.Sleep(u.settle - time.Since(c.since)) // less than a handshake takes
+		}
 		return c, status
 	}
 	u.mu.Lock()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -650,6 +650,23 @@
 	}
 }
 
+// Guards against pauses at every server where many turn a request away now and then: all pause
+// at once, and what waits for room is shed though servers are free.
+func TestLoneTurnAwayPausesNobody(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	r.serve(30, 0, 20*ms)
+	for i, sent := range []bool{true, true, false} { // by the turn-aways before it, in a row
+		before := len(r.h.sends)
+		id := r.request(0)
+		if (len(r.h.sends) > before) != sent {
+			t.Fatalf("after %d turned away in a row: sent %v, want %v", i, !sent, sent)
+		}
+		if sent {
+			r.end(id, Full, ms)
+		}
+	}
+}
+
 // Guards against waiting for knowledge that can't come: a node that starts while most
 // servers are cold never sees what a warm one gets. It refused 95 of 100 for 10 s.
 // And cold servers get nothing that they would answer too late while others are fast.
