--- a/policy/policy.go
+++ b/policy/policy.go
@@ -539,7 +539,7 @@
 		}
 	case Full: // without a mark on its score a full server would go on being picked, and
 		s.record(now, false, latency) // without a pause it, always free, would draw what waits.
-		if s.fulls > 0 { // not for a lone one: all would pause where many turn some away
+		if s.fulls > 0 {              // not for a lone one: all would pause where many turn some away
 			s.fullUntil = now + time.Duration(b.typical*float64(time.Second))<<min(s.fulls-1, fullMost)
 		}
 		s.fulls++
