Take a pick's refusal after it may have run for lost, not for refused

Who is refused may have left: the promise that trying again does no harm then reached nobody, and a repeat by another way would run while the first may have. The rig of callers books what a caller that left may have been told. TestRig and the suite under -race pass.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -345,7 +345,8 @@
 
 // count books a request's final answer.
 func (r *rig) count(out proxy.Result, a proxy.Ask) {
-	if out.Header.Get("Retry-After") != "" { // whatever the status: it may be a server's own last word
+	// Whatever the status, which may be a server's own last word; who left may have been told too.
+	if out.Header.Get("Retry-After") != "" || out.Status == 0 {
 		r.mu.Lock()
 		r.again[a.Header.Get("Idempotency-Key")] = true
 		r.mu.Unlock()
--- a/internal/extproc/pick.go
+++ b/internal/extproc/pick.go
@@ -194,7 +194,7 @@
 	case err == nil && answer.Verdict == engine.Served:
 		a.s.over(a.begun, repeat.Answered, nil, 0)
 		a.s.Stats.Served.Add(1)
-	case !ran || err == nil && answer.Verdict == engine.Refused:
+	case !ran: // a refusal of what may have run is a promise to whoever hears it, and nobody may be there
 		a.s.over(a.begun, repeat.Refused, nil, answer.RetryAfter)
 	default:
 		a.s.over(a.begun, repeat.Lost, nil, 0)
