Heed the prices of handshakes; take refused connections of a live server for full

The settings' Deductions are read into policy.Settings.Prices, and such copies are left to end where the connection is dearer. Guarded besides: a server that refuses connections and has answered within a second is full, not sick, so that a fleet short of connections does not open its breakers on all servers at once.

--- a/internal/httpup/httpup.go
+++ b/internal/httpup/httpup.go
@@ -39,6 +39,9 @@
 // their next request (327 against 91 on the same day).
 const settleTime = time.Millisecond
 
+// patientFrom is what the last exchange of a connection took at the least for its settling to be waited for.
+const patientFrom = 10 * settleTime
+
 // StreamLimits are how long bodies that are passed on while they come may take, and connections
 // that were upgraded last. What is 0 is not limited, but for Stall.
 type StreamLimits struct {
@@ -168,6 +171,8 @@
 	ended  error // what reading met when the connection broke or ended
 	used   bool  // it comes from the pool
 	since  time.Time
+	began  time.Time     // the latest exchange,
+	took   time.Duration // and what it took
 
 	message []byte          // what is sent, kept for the next one
 	raw     syscall.RawConn // nil if it has none
@@ -297,15 +302,17 @@
 	// behind an answer, to close it or to send more than belongs to the answer,
 	// takes a moment to show. A request written before that is lost, or would get
 	// what belongs to the former one: nothing in an answer names its request. Where no other
-	// has settled the one left is waited for: to a server that has just answered goes what
-	// waited for it, and a connection opened each time costs both sides a handshake.
+	// has settled the one left is waited for, unless the server answers so fast that the wait
+	// would count: to one that has just answered goes what waited for it, and a connection opened
+	// each time costs both sides a handshake.
 	for n := len(s.idle) - 1; n >= 0; n-- {
 		c := s.idle[n]
 		rested := time.Since(c.since)
-		if rested < u.settle && n > 0 && time.Since(s.idle[n-1].since) <= u.idleFor {
+		if rested < u.settle && (c.took < patientFrom || n > 0 && time.Since(s.idle[n-1].since) <= u.idleFor) {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, n, n+1)
+		c.began = time.Now()
 		// The server closes idle connections too, and a request written to one
 		// that is closed counts as one that may have run.
 		if rested <= u.idleFor {
@@ -348,6 +355,7 @@
 		c.message = nil
 	}
 	c.used, c.since = true, time.Now()
+	c.took = c.since.Sub(c.began)
 	c.server.idle = append(c.server.idle, c)
 }
 
@@ -400,7 +408,7 @@
 }
 
 func newConn(nc net.Conn, s *server) *conn {
-	c := &conn{Conn: nc, server: s}
+	c := &conn{Conn: nc, server: s, began: time.Now()}
 	c.reader = bufio.NewReader(c)
 	c.giveUp = func() { c.Conn.Close() }
 	c.peek = func(fd uintptr) { c.silent = nothingToRead(fd) }
--- a/internal/httpup/httpup_test.go
+++ b/internal/httpup/httpup_test.go
@@ -215,6 +215,7 @@
 			addr, _ := backend(t, func(w http.ResponseWriter, r *http.Request) {
 				from[r.RemoteAddr] = true // one request at a time
 				if behind == nil {
+					time.Sleep(patientFrom) // the server's work
 					io.WriteString(w, "hi")
 					return
 				}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -53,8 +53,9 @@
 		ColdMs, FallMs, MustAskInMs ms
 		GraceToAnswerMs             ms
 	}
-	CountedBy string
-	Limits    struct {
+	CountedBy  string
+	Deductions struct{ Handshake, Waste float64 }
+	Limits     struct {
 		Cancel, RetryAfter, SecondCopies bool
 		MaxAttempts                      *int
 		MaxRetryAfterMs                  ms
@@ -96,6 +97,7 @@
 	s.Rules.ColdFor = j.Contract.ColdMs.or(s.Rules.ColdFor)
 	s.Rules.FallFor = j.Contract.FallMs.or(s.Rules.FallFor)
 	s.Rules.AnswerGrace = j.Contract.GraceToAnswerMs.or(s.Rules.AnswerGrace)
+	s.Prices = policy.Prices{Handshake: j.Deductions.Handshake, Waste: j.Deductions.Waste}
 	s.Tick = j.TickMs.or(s.Tick)
 	s.Rules.MustAsk = j.Contract.MustAskInMs.or(s.Rules.MustAsk)
 	var ok bool
--- a/policy/api.go
+++ b/policy/api.go
@@ -72,6 +72,12 @@
 	AnswerGrace  time.Duration // a final answer still counts so long after the client's time is up
 }
 
+// Prices are what things cost, in worth of the whole service for one of them a request.
+type Prices struct {
+	Handshake float64 // a new connection to a server
+	Waste     float64 // a request's work done for nothing
+}
+
 // Settings is what an instance is told at its start.
 type Settings struct {
 	Nodes          int // nodes of this tier, this one included
@@ -85,6 +91,7 @@
 	Tick           time.Duration // the longest that an event may wait for the next batch
 	Limits         Limits
 	Rules          Rules
+	Prices         Prices
 }
 
 // State is what the list says of a server.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	leastPart      = 0.5             // work a second that a warm server bears at least: one slow core
 	fullMost       = 5               // doublings of the pause that a full server gets, from a typical latency
 	sweepEvery     = 10 * time.Millisecond
+	aliveFor       = time.Second // after an answer, in which a server that refuses connections is no dead one
 	watchAgain     = 500 * time.Millisecond
 	watchSpread    = 40 * time.Millisecond // for each node: over which the first calls of all are spread
 )
@@ -455,9 +456,10 @@
 	b.finish(r)
 }
 
-// finish ends a request; attempts that are still out are cancelled.
+// finish ends a request; attempts that are still out are cancelled, unless the connections that
+// go with them are dearer than all the work that could be saved.
 func (b *Balancer) finish(r *request) {
-	if !r.done {
+	if !r.done && b.set.Prices.Handshake <= b.set.Prices.Waste {
 		b.cancel(r, nil)
 	}
 	b.close(r)
@@ -519,7 +521,11 @@
 		return
 	}
 	latency := o.Latency.Seconds() / b.loneLatency(r)
-	switch o.Status {
+	status := o.Status
+	if status == ConnectFailed && s.answeredAt > 0 && now-s.answeredAt < aliveFor {
+		status = Full // it answers on connections that it has: it is short of them, not sick
+	}
+	switch status {
 	case OK:
 		s.record(now, true, latency)
 		if latency > slowAfter && b.thin() { // it answers, but is crowded for long: it needs rest
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -667,6 +667,52 @@
 	}
 }
 
+// Guards against a fleet that takes servers short of connections for dead ones, all nodes at
+// once: what answers on the connections that it has is only full.
+func TestRefusedConnections(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		answer time.Duration // this long before each refused connection; 0: none lately
+		opens  bool
+	}{{"dead", 0, true}, {"short of connections", aliveFor / 2, false}, {"died a while ago", 2 * aliveFor, true}} {
+		r := newRig(t, testSettings(), 3)
+		r.serve(60, 0, 20*ms)
+		r.pass(2 * aliveFor)
+		s := r.b.mine[0]
+		q := &request{class: &r.b.classes[0]}
+		for range failuresToOpen {
+			if tc.answer > 0 {
+				s.answeredAt = r.now - tc.answer
+			}
+			r.b.judge(r.now, q, &attempt{server: s, request: q, sent: r.now}, Outcome{Status: ConnectFailed})
+		}
+		if (s.breaker == open) != tc.opens {
+			t.Errorf("%s: breaker open %v, want %v", tc.name, s.breaker == open, tc.opens)
+		}
+	}
+}
+
+// Guards against cancels that cost more than they save: each takes its connection with it.
+func TestCancelsHeedPrices(t *testing.T) {
+	for _, tc := range []struct {
+		prices  Prices
+		cancels int
+	}{{Prices{}, 1}, {Prices{Waste: 0.02}, 1}, {Prices{Handshake: 0.12, Waste: 0.02}, 0}} {
+		set := testSettings()
+		set.Prices = tc.prices
+		r := newRig(t, set, 3)
+		r.serve(60, 0, 20*ms)
+		id := r.request(0)
+		for len(r.sendsOf(id)) < 2 { // a second copy past a silent server
+			r.pass(10 * ms)
+		}
+		r.b.Outcome(r.now, Outcome{ID: id, Attempt: 1, Server: r.sendsOf(id)[1], Status: OK, Ended: true, Latency: 20 * ms})
+		if r.h.cancels != tc.cancels {
+			t.Errorf("%+v: %d cancels, want %d", tc.prices, r.h.cancels, tc.cancels)
+		}
+	}
+}
+
 // Guards against waiting for knowledge that can't come: a node that starts while most
 // servers are cold never sees what a warm one gets. It refused 95 of 100 for 10 s.
 // And cold servers get nothing that they would answer too late while others are fast.
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -86,6 +86,10 @@
 		return bad("Rules.FallMultiple", s.Rules.FallMultiple)
 	case s.Rules.FallFor < 0:
 		return bad("Rules.FallFor", s.Rules.FallFor)
+	case !number(s.Prices.Handshake, 0):
+		return bad("Prices.Handshake", s.Prices.Handshake)
+	case !number(s.Prices.Waste, 0):
+		return bad("Prices.Waste", s.Prices.Waste)
 	case s.Tick < 0:
 		return bad("Tick", s.Tick)
 	case s.Rules.AnswerGrace < 0:
