Have keyed requests over HTTP that come again get the outcome of the first

Need: a copy of a push that lands on another app box runs twice, whatever the first box remembers. The store stood in internal/repeat and served the external processor alone.

internal/once stands between a front and its clusters: it joins what comes while the first runs, replays what was answered, answers 409 where the first may have run and 422 to another request under the key, and lets the first go on for those that wait once its client has left. Engines' answers tell whether an attempt may have run: a refusal by the module's rule (servers drop repeats) is not a promise that an edge before servers which drop none can pass on.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -20,6 +20,8 @@
 	"yokestall/internal/files"
 	"yokestall/internal/httpup"
 	"yokestall/internal/ingress"
+	"yokestall/internal/once"
+	"yokestall/internal/repeat"
 	"yokestall/internal/route"
 	"yokestall/internal/tlskeys"
 	"yokestall/policy"
@@ -38,6 +40,7 @@
 	ctx   context.Context
 	stop  context.CancelFunc
 
+	once    *once.Gate // nil: repeats over HTTP run like any request
 	mu      sync.Mutex // one change at a time
 	state   atomic.Pointer[state]
 	retired sync.WaitGroup // clusters that run on without a place in the state
@@ -68,6 +71,11 @@
 func New(first *files.Snapshot, o Options) (*App, error) {
 	a := &App{Options: o, clock: engine.NewClock()}
 	a.ctx, a.stop = context.WithCancel(context.Background())
+	if set := first.Program.Repeats; set.Entries > 0 {
+		a.once = once.New(repeat.Limits{
+			Entries: set.Entries, Bytes: set.Bytes, Joiners: maxJoiners, Tenants: len(first.Program.Tenants),
+		}, a.clock)
+	}
 	a.state.Store(&state{clusters: map[string]*running{}})
 	if err := a.Take(first); err != nil {
 		a.Close()
@@ -237,6 +245,25 @@
 	return out, nil
 }
 
+// repeats gives the router of HTTP's fronts: keyed requests pass the gate, if there is one.
+func (a *App) repeats() ingress.Router {
+	if a.once == nil {
+		return a
+	}
+	return onceRouter{a}
+}
+
+type onceRouter struct{ *App }
+
+// Route implements ingress.Router.
+func (r onceRouter) Route(q *http.Request) (ingress.Destination, error) {
+	to, err := r.App.Route(q)
+	if err == nil && to.Effect == policy.Keyed {
+		to.Cluster = r.once.Cluster(to.Cluster, to.Window, to.MaxRetryAfter)
+	}
+	return to, err
+}
+
 // direct is what a route answers by itself.
 func direct(r *route.Route, q *http.Request) error {
 	a := r.Answer
--- a/internal/app/listen.go
+++ b/internal/app/listen.go
@@ -255,7 +255,7 @@
 		}
 		o.TLS = a.Keys.Server(tlskeys.Clients{Roots: set.ClientRoots, Require: set.ClientNeeds}, protos...)
 	}
-	front := httpfront.New(a, o)
+	front := httpfront.New(a.repeats(), o)
 	front.Ready()
 	srv := front.Server()
 	var over2 *h2front.Server
--- /dev/null
+++ b/internal/app/once_test.go
@@ -0,0 +1,155 @@
+package app
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/once"
+	"yokestall/internal/testkit"
+)
+
+const pushes = `[listen]
+address = "127.0.0.1:0"
+[files]
+clusters = "clusters"
+[repeats]
+entries = ENTRIES
+[limits]
+attempts = 1
+[[class]]
+name = "push"
+effect = "keyed"
+scope = "all"
+window = "1m"
+deadline = "2s"
+[[host]]
+[[host.route]]
+prefix = "/"
+class = "push"
+cluster = "rooms"
+`
+
+// push sends a keyed request, for as long as its client waits.
+func (s *serving) push(key, body string, patience time.Duration) (status int, header http.Header, text string) {
+	ctx, leave := context.WithTimeout(context.Background(), patience)
+	defer leave()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+"/push", strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", key)
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return 0, nil, ""
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// Pushes whose clients send them again, whatever became of the former try, to app boxes that drop
+// no repeats themselves: each runs once at most. With the store off many run more often, so the
+// check is known to bite. Over the program's own sockets, both ways.
+func TestPushesRunOnce(t *testing.T) {
+	const n = 320 // a backend of the tests has room for 1,000
+	twice := func(entries string) (twice, ran int) {
+		var mu sync.Mutex
+		runs := map[string]int{}
+		rng := rand.New(rand.NewPCG(5, 6))
+		draw := func(n int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return rng.IntN(n)
+		}
+		act := func(w http.ResponseWriter, r *http.Request) {
+			key := r.Header.Get("Idempotency-Key")
+			io.Copy(io.Discard, r.Body)
+			how := draw(6)
+			if how == 0 { // turned away
+				w.Header().Set("X-Not-Processed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			mu.Lock()
+			runs[key]++
+			mu.Unlock()
+			switch how {
+			case 1:
+				http.Error(w, "after the work", http.StatusInternalServerError)
+			case 2: // the answer is lost
+				if nc, _, err := w.(http.Hijacker).Hijack(); err == nil {
+					nc.Close()
+				}
+			case 3:
+				time.Sleep(time.Duration(draw(40)) * time.Millisecond)
+				fallthrough
+			default:
+				io.WriteString(w, key)
+			}
+		}
+		var list []cluster.Endpoint
+		for i := range 4 {
+			list = append(list, cluster.Endpoint{ID: "s" + strconv.Itoa(i), Address: testkit.NewBackend(t, act).Addr()})
+		}
+		s := serve(t, snapshot(parse(t, strings.Replace(pushes, "ENTRIES", entries, 1)), rooms(list...)))
+		var all sync.WaitGroup
+		for worker := range 16 {
+			all.Go(func() {
+				for i := range n / 16 {
+					key := strconv.Itoa(worker) + "-" + strconv.Itoa(i)
+					for range 4 {
+						if draw(4) == 0 { // beside the one that may still run
+							all.Go(func() { s.push(key, "x", time.Second) })
+						}
+						status, _, text := s.push(key, "x", time.Duration(5+draw(100))*time.Millisecond)
+						if status == http.StatusOK && text != key {
+							t.Errorf("%s got the answer %q", key, text)
+						}
+						if status == http.StatusOK {
+							break
+						}
+					}
+				}
+			})
+		}
+		all.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, times := range runs {
+			if times > 1 {
+				twice++
+			}
+		}
+		return twice, len(runs)
+	}
+	if n, ran := twice("1000"); n > 0 || ran < 100 {
+		t.Errorf("%d of %d pushes ran more than once", n, ran)
+	}
+	if n, _ := twice("0"); n < 10 {
+		t.Errorf("without the store %d pushes ran more than once: the check proves little", n)
+	}
+}
+
+// What a client sees of it, and that another request under its key is told from it.
+func TestRepeatOverHTTP(t *testing.T) {
+	box := cluster.Endpoint{ID: "s-0", Address: testkit.NewBackend(t, testkit.OK).Addr()}
+	s := serve(t, snapshot(parse(t, strings.Replace(pushes, "ENTRIES", "10", 1)), rooms(box)))
+	status, header, first := s.push("k", "x", testkit.Patience)
+	if status != http.StatusOK || header.Get(once.Replayed) != "" {
+		t.Fatalf("status %d, %s", status, header)
+	}
+	if status, header, text := s.push("k", "x", testkit.Patience); status != http.StatusOK || header.Get(once.Replayed) != "true" || text != first {
+		t.Errorf("again: status %d, %s, %q", status, header, text)
+	}
+	if status, _, _ := s.push("k", "y", testkit.Patience); status != http.StatusUnprocessableEntity {
+		t.Errorf("another body: status %d", status)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,6 +138,13 @@
 	Table     *route.Table // nil: routes are to come from a control plane
 	XDS       XDS
 	ExtProc   ExtProc
+	Repeats   Repeats
+}
+
+// Repeats is the store of keys of keyed requests over HTTP; off without entries.
+type Repeats struct {
+	Entries int
+	Bytes   int64
 }
 
 // ExtProc is where other proxies ask what to do with their requests (envoy.service.ext_proc.v3);
@@ -322,6 +329,10 @@
 		ClientRoots string   `toml:"client_roots"`
 		ClientNeeds bool     `toml:"client_required"`
 	} `toml:"extproc"`
+	Repeats struct {
+		Entries int   `toml:"entries"`
+		MB      int64 `toml:"mb"`
+	} `toml:"repeats"`
 	Limits struct {
 		Attempts      int      `toml:"attempts"`
 		SecondCopies  bool     `toml:"second_copies"`
@@ -471,6 +482,7 @@
 	f.ExtProc.Way, f.ExtProc.Connections, f.ExtProc.Streams, f.ExtProc.PerConn = "carry", 256, 4096, 1000
 	f.ExtProc.Head, f.ExtProc.Message, f.ExtProc.Answer, f.ExtProc.Buffer = 64, 1024, 1024, 64
 	f.ExtProc.First.Duration, f.ExtProc.Report.Duration = 5*time.Second, time.Second
+	f.Repeats.MB = 64
 	f.ExtProc.Repeats, f.ExtProc.RepeatBytes = 100_000, 64
 	f.XDS.Variant, f.XDS.Clusters, f.XDS.MaxMessage = "incremental", "all", 64
 	f.Fleet.ColdFrom, f.Fleet.ColdFor.Duration = d.Rules.ColdFrom, d.Rules.ColdFor
@@ -781,6 +793,13 @@
 }
 
 func (p *Program) extproc(f *programFile, report reporter) {
+	p.Repeats = Repeats{Entries: f.Repeats.Entries, Bytes: f.Repeats.MB << 20}
+	if n := f.Repeats.Entries; n < 0 || n > 10e6 {
+		report("repeats", -1, "entries", "%d is not from 0 to 10000000", n)
+	}
+	if n := f.Repeats.MB; n < 1 || n > 1<<20 {
+		report("repeats", -1, "mb", "%d is not from 1 to 1048576", n)
+	}
 	x := &f.ExtProc
 	p.ExtProc = ExtProc{
 		Address: x.Address, Pick: x.Way == "pick", Connections: x.Connections, Streams: x.Streams, PerConn: x.PerConn,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -241,6 +241,8 @@
 	RetryAfter time.Duration // for Refused; 0: nothing to advise
 	Value      any           // for Served; else what a server said last, nil if none did
 	From       Source        // for Served
+	// MayHaveRun tells that an attempt went out which is not known not to have run.
+	MayHaveRun bool
 }
 
 // Request is what a front submits, once.
@@ -258,6 +260,7 @@
 	first    [1]*attempt // where the usual one goes
 	out      int         // attempts with no outcome yet
 	ended    bool        // has its final answer, or its client left
+	ran      bool        // an attempt that has ended may have run
 	said     any         // Result.Answer of the latest attempt that was not served
 	deadline alarm
 }
@@ -271,6 +274,12 @@
 	timeout alarm
 }
 
+// mayHaveRun tells what an end means for one that was allowed to be sent, or not.
+func (a *attempt) mayHaveRun(status policy.Status) bool {
+	never := status == policy.Full || status == policy.ConnectFailed || status == policy.Moot
+	return !never && a.gate.Load() == begun
+}
+
 var (
 	// ErrLeft tells that the client left before the answer: none is owed.
 	ErrLeft = errors.New("engine: the client left")
@@ -653,6 +662,7 @@
 	}
 	a.Revoke()
 	a.Stop()
+	r.ran = r.ran || a.mayHaveRun(res.Status)
 	c.alarms.clear(&a.timeout)
 	switch {
 	case r.ended:
@@ -683,6 +693,10 @@
 // finish gives the final answer.
 func (c *Cluster) finish(r *Request, a Answer) {
 	c.end(r)
+	a.MayHaveRun = r.ran
+	for _, t := range r.attempts { // those that are out
+		a.MayHaveRun = a.MayHaveRun || !t.told && t.mayHaveRun(policy.Cancelled)
+	}
 	r.answer <- a
 }
 
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -228,7 +228,11 @@
 			w.Header().Set("Connection", "close")
 		}
 	}
+	var barred *ingress.Rejection
 	switch {
+	case errors.As(err, &barred) && r.Context().Err() == nil: // it must not run beside, or behind, another one
+		refuse(w, r, barred)
+		return
 	case errors.Is(err, engine.ErrRetired) && r.Context().Err() == nil:
 		a = engine.Answer{Verdict: engine.Refused, RetryAfter: to.MaxRetryAfter}
 	case err != nil:
--- /dev/null
+++ b/internal/once/once.go
@@ -0,0 +1,238 @@
+// Package once stands between a front and its clusters and has a keyed request that comes again get
+// the outcome of the first instead of a run of its own. What is known of keys is internal/repeat's;
+// here are the lock, the waiting and the answers.
+//
+// The first request runs apart from its client: if that one leaves while others wait for the
+// outcome, it goes on for them. A joiner keeps its own deadline and may leave without harm.
+package once
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"yokestall/internal/engine"
+	"yokestall/internal/httpup"
+	"yokestall/internal/ingress"
+	"yokestall/internal/repeat"
+)
+
+// Replayed marks an answer that was made for an earlier request under the key.
+const Replayed = "Idempotent-Replayed"
+
+// Gate holds the keys of all clusters. Create it with New.
+type Gate struct {
+	clock engine.Clock
+
+	mu    sync.Mutex
+	store *repeat.Store
+	open  map[*repeat.Entry]*first // as many as the store has running entries
+}
+
+// first is a request that runs under a key.
+type first struct {
+	entry  *repeat.Entry
+	stop   context.CancelFunc
+	left   bool          // its client has; guarded by Gate.mu
+	over   chan struct{} // closed at the end, after the following are set
+	answer engine.Answer
+	err    error
+}
+
+// New makes a gate that knows nothing yet.
+func New(l repeat.Limits, clock engine.Clock) *Gate {
+	return &Gate{clock: clock, store: repeat.New(l), open: map[*repeat.Entry]*first{}}
+}
+
+// Cluster gives a cluster whose requests pass the gate. What comes of one is known for window,
+// from its start; wait is what a request for which there is no room is told at the least.
+func (g *Gate) Cluster(inner ingress.Cluster, window, wait time.Duration) ingress.Cluster {
+	return gated{g, inner, window, wait}
+}
+
+type gated struct {
+	*Gate
+	inner        ingress.Cluster
+	window, wait time.Duration
+}
+
+func conflict(status int, text string) error { return &ingress.Rejection{Status: status, Text: text} }
+
+// Do implements ingress.Cluster. Besides that one's errors it gives an *ingress.Rejection: 409 where
+// the first may have run and its outcome can't be had, 422 where the key stands for another request.
+func (c gated) Do(ctx context.Context, r *engine.Request) (engine.Answer, error) {
+	o, ok := r.Payload.(*httpup.Request)
+	if !ok || o.Header.Get("Idempotency-Key") == "" {
+		return c.inner.Do(ctx, r)
+	}
+	key := repeat.Key{Tenant: r.Tenant, Name: o.Header.Get("Idempotency-Key")}
+	whole := o.Upload == nil // else it can neither be told from another nor wait with its body unread
+	c.mu.Lock()
+	verdict, entry, wait := c.store.Ask(c.clock.Now(), key, print(r.Class, o), c.window, whole)
+	var f *first
+	var kept any
+	switch verdict {
+	case repeat.First:
+		f = &first{entry: entry, over: make(chan struct{})}
+		c.open[entry] = f
+	case repeat.Joined:
+		f = c.open[entry]
+	case repeat.Replayed:
+		kept = entry.Outcome
+	}
+	c.mu.Unlock()
+	switch verdict {
+	case repeat.First:
+		return c.run(ctx, f, r)
+	case repeat.Joined:
+		return c.join(ctx, f, r.End)
+	case repeat.Replayed:
+		if a, ok := kept.(engine.Answer); ok {
+			return replay(a), nil
+		}
+		return engine.Answer{}, conflict(http.StatusConflict, "the request under this key was answered")
+	case repeat.Busy:
+		return engine.Answer{}, conflict(http.StatusConflict, "a request under this key is open")
+	case repeat.Unknown:
+		return engine.Answer{}, conflict(http.StatusConflict, "the request under this key may have run")
+	case repeat.Other:
+		return engine.Answer{}, conflict(http.StatusUnprocessableEntity, "the key stands for another request")
+	}
+	return engine.Answer{Verdict: engine.Refused, RetryAfter: max(wait, c.wait)}, nil
+}
+
+// run has the first decided, and waits for it as long as its client does.
+func (c gated) run(ctx context.Context, f *first, r *engine.Request) (engine.Answer, error) {
+	apart, stop := context.WithCancel(context.WithoutCancel(ctx))
+	f.stop = stop
+	go func() {
+		defer stop()
+		f.answer, f.err = c.inner.Do(apart, r)
+		c.end(f)
+	}()
+	select {
+	case <-f.over:
+		return f.own()
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	f.left = true
+	alone := !c.store.Waited(f.entry)
+	c.mu.Unlock()
+	if alone {
+		stop()
+		<-f.over // soon: what came in the same instant is not kept by a client that left
+	}
+	return engine.Answer{}, engine.ErrLeft
+}
+
+// own is the first's answer to its own client. What the store keeps is not handed out: a front
+// changes the fields of an answer.
+func (f *first) own() (engine.Answer, error) {
+	if shared(f.answer) {
+		return clone(f.answer, false), f.err
+	}
+	return f.answer, f.err
+}
+
+// end books what came of the first. A refusal of what may have run is no promise that an edge which
+// must not run a thing twice can pass on.
+func (c gated) end(f *first) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	how, outcome, size := repeat.Lost, any(nil), int64(0)
+	switch {
+	case f.err == engine.ErrRetired, f.err == nil && f.answer.Verdict == engine.Refused && !f.answer.MayHaveRun:
+		how = repeat.Refused
+	case f.err == nil && f.answer.Verdict == engine.Served:
+		how = repeat.Answered
+		if shared(f.answer) {
+			outcome, size = f.answer, weight(f.answer.Value.(*httpup.Answer))
+		}
+	}
+	c.store.End(c.clock.Now(), f.entry, how, outcome, size)
+	delete(c.open, f.entry)
+	close(f.over)
+}
+
+// join waits for the first's outcome until the joiner's own end, or until its client leaves.
+func (c gated) join(ctx context.Context, f *first, end time.Duration) (engine.Answer, error) {
+	late := time.NewTimer(end - c.clock.Now())
+	defer late.Stop()
+	select {
+	case <-f.over:
+	case <-late.C:
+		c.leave(f)
+		return engine.Answer{Verdict: engine.Failed}, nil
+	case <-ctx.Done():
+		c.leave(f)
+		return engine.Answer{}, engine.ErrLeft
+	}
+	switch {
+	case f.err == nil && f.answer.Verdict == engine.Refused && !f.answer.MayHaveRun:
+		return engine.Answer{Verdict: engine.Refused, RetryAfter: f.answer.RetryAfter}, nil
+	case f.err == nil && shared(f.answer):
+		return replay(f.answer), nil
+	}
+	return engine.Answer{Verdict: engine.Failed}, nil
+}
+
+// leave takes a joiner back; the last one ends a first whose own client has left.
+func (c gated) leave(f *first) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[f.entry] != f {
+		return // over, and the entry may be gone
+	}
+	if c.store.Leave(f.entry); f.left && !c.store.Waited(f.entry) {
+		f.stop()
+	}
+}
+
+// shared tells whether an answer can be given more than once.
+func shared(a engine.Answer) bool {
+	h, ok := a.Value.(*httpup.Answer)
+	return ok && a.Verdict == engine.Served && h.Stream == nil && h.Tunnel == nil
+}
+
+func replay(a engine.Answer) engine.Answer { return clone(a, true) }
+
+func clone(a engine.Answer, replayed bool) engine.Answer {
+	h := *a.Value.(*httpup.Answer)
+	if h.Header = h.Header.Clone(); h.Header == nil {
+		h.Header = http.Header{}
+	}
+	if replayed {
+		h.Header.Set(Replayed, "true")
+	}
+	a.Value = &h
+	return a
+}
+
+func weight(a *httpup.Answer) int64 {
+	size := int64(len(a.Body))
+	for _, fields := range []http.Header{a.Header, a.Trailer} {
+		for name, values := range fields {
+			for _, v := range values {
+				size += int64(len(name) + len(v))
+			}
+		}
+	}
+	return size
+}
+
+// print tells the request from another under the same key, by SHA-256: who chooses keys and bodies
+// would choose collisions of a weaker one too.
+func print(class int, o *httpup.Request) (p repeat.Print) {
+	h := sha256.New()
+	for _, part := range []string{o.Method, o.Target, o.Host} {
+		fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	fmt.Fprintf(h, "%d:", class)
+	h.Write(o.Body)
+	copy(p[:], h.Sum(nil))
+	return p
+}
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,267 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"yokestall/internal/engine"
+	"yokestall/internal/httpup"
+	"yokestall/internal/ingress"
+	"yokestall/internal/repeat"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// stub runs requests as the test says.
+type stub struct {
+	runs atomic.Int64
+	run  func(ctx context.Context, n int64) (engine.Answer, error)
+}
+
+func (s *stub) Do(ctx context.Context, r *engine.Request) (engine.Answer, error) {
+	return s.run(ctx, s.runs.Add(1))
+}
+
+func served(text string) engine.Answer {
+	return engine.Answer{Verdict: engine.Served, Value: &httpup.Answer{Status: 200, Header: http.Header{"X-Of": {text}}, Body: []byte(text)}}
+}
+
+const window = 6 * time.Second
+
+func asked(clock engine.Clock, key, body string) *engine.Request {
+	return &engine.Request{End: clock.Now() + time.Second, Payload: &httpup.Request{
+		Method: "POST", Target: "/push", Header: http.Header{"Idempotency-Key": {key}}, Body: []byte(body),
+	}}
+}
+
+func limits() repeat.Limits { return repeat.Limits{Entries: 100, Bytes: 1 << 20, Joiners: 8} }
+
+// What a repeat gets, by what the first came to and by when the repeat comes.
+func TestRepeat(t *testing.T) {
+	lost := engine.Answer{Verdict: engine.Failed}
+	for _, tc := range []struct {
+		name           string
+		first          engine.Answer
+		err            error
+		body           string        // of the repeat
+		after          time.Duration // the first takes 100 ms
+		status         int           // 0: no rejection
+		verdict        engine.Verdict
+		replayed, runs int
+	}{
+		{"while it runs", served("a"), nil, "x", 50 * time.Millisecond, 0, engine.Served, 1, 1},
+		{"in the instant of its end", served("a"), nil, "x", 100 * time.Millisecond, 0, engine.Served, 1, 1},
+		{"after it", served("a"), nil, "x", time.Second, 0, engine.Served, 1, 1},
+		{"after the window", served("a"), nil, "x", window, 0, engine.Served, 0, 2},
+		{"another body", served("a"), nil, "y", 50 * time.Millisecond, 422, 0, 0, 1},
+		{"refused, joined", engine.Answer{Verdict: engine.Refused, RetryAfter: time.Second}, nil, "x", 50 * time.Millisecond, 0, engine.Refused, 0, 1},
+		{"refused, later", engine.Answer{Verdict: engine.Refused}, nil, "x", time.Second, 0, engine.Refused, 0, 2},
+		{"refused after it may have run, joined", engine.Answer{Verdict: engine.Refused, MayHaveRun: true}, nil, "x", 50 * time.Millisecond, 0, engine.Failed, 0, 1},
+		{"refused after it may have run, later", engine.Answer{Verdict: engine.Refused, MayHaveRun: true}, nil, "x", time.Second, 409, 0, 0, 1},
+		{"failed, joined", lost, nil, "x", 50 * time.Millisecond, 0, engine.Failed, 0, 1},
+		{"failed, later", lost, nil, "x", time.Second, 409, 0, 0, 1},
+		{"cluster gone, later", engine.Answer{}, engine.ErrRetired, "x", time.Second, 0, engine.Served, 0, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := engine.NewClock()
+				s := &stub{}
+				s.run = func(ctx context.Context, n int64) (engine.Answer, error) {
+					time.Sleep(100 * time.Millisecond)
+					if n > 1 && tc.err != nil {
+						return served("b"), nil
+					}
+					return tc.first, tc.err
+				}
+				c := New(limits(), clock).Cluster(s, window, 0)
+				var all sync.WaitGroup
+				all.Go(func() { c.Do(t.Context(), asked(clock, "k", "x")) })
+				time.Sleep(tc.after)
+				a, err := c.Do(t.Context(), asked(clock, "k", tc.body))
+				all.Wait()
+				var barred *ingress.Rejection
+				if errors.As(err, &barred); tc.status > 0 && (barred == nil || barred.Status != tc.status) || tc.status == 0 && err != nil {
+					t.Fatalf("%v, want status %d", err, tc.status)
+				}
+				replayed := 0
+				if h, ok := a.Value.(*httpup.Answer); ok && h.Header.Get(Replayed) == "true" {
+					replayed = 1
+				}
+				if tc.status == 0 && a.Verdict != tc.verdict || replayed != tc.replayed || s.runs.Load() != int64(tc.runs) {
+					t.Errorf("verdict %d, replayed %d, %d runs", a.Verdict, replayed, s.runs.Load())
+				}
+			})
+		})
+	}
+}
+
+// The first's client leaves: with nobody waiting its request ends, with others it goes on for them,
+// and ends when the last of them leaves.
+func TestFirstLeaves(t *testing.T) {
+	for name, joiners := range map[string]int{"alone": 0, "one waits": 1, "the one that waits leaves too": -1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := engine.NewClock()
+				s := &stub{run: func(ctx context.Context, _ int64) (engine.Answer, error) {
+					select {
+					case <-time.After(500 * time.Millisecond):
+						return served("a"), nil
+					case <-ctx.Done():
+						return engine.Answer{}, engine.ErrLeft
+					}
+				}}
+				c := New(limits(), clock).Cluster(s, window, 0)
+				ctx, leave := context.WithCancel(t.Context())
+				other, leaveToo := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				var joined engine.Answer
+				var joinedErr error
+				all.Go(func() {
+					if _, err := c.Do(ctx, asked(clock, "k", "x")); !errors.Is(err, engine.ErrLeft) {
+						t.Errorf("the first got %v", err)
+					}
+				})
+				synctest.Wait()
+				if joiners != 0 {
+					all.Go(func() { joined, joinedErr = c.Do(other, asked(clock, "k", "x")) })
+					synctest.Wait()
+				}
+				leave()
+				if synctest.Wait(); joiners < 0 {
+					leaveToo()
+				}
+				began := clock.Now()
+				all.Wait()
+				synctest.Wait()
+				switch took := clock.Now() - began; {
+				case joiners > 0 && (joinedErr != nil || joined.Verdict != engine.Served || took != 500*time.Millisecond):
+					t.Errorf("the joiner got %+v, %v after %v", joined, joinedErr, took)
+				case joiners <= 0 && took != 0:
+					t.Errorf("the request went on for %v with nobody there", took)
+				}
+				leaveToo()
+			})
+		})
+	}
+}
+
+// Joiners keep their own time, and no answer's fields are shared between those that change them.
+func TestJoinersKeepTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := engine.NewClock()
+		s := &stub{run: func(context.Context, int64) (engine.Answer, error) {
+			time.Sleep(800 * time.Millisecond)
+			return served("a"), nil
+		}}
+		c := New(limits(), clock).Cluster(s, window, 0)
+		var all sync.WaitGroup
+		for i := range 4 {
+			all.Go(func() {
+				r := asked(clock, "k", "x")
+				if i == 3 {
+					r.End = clock.Now() + 200*time.Millisecond
+				}
+				a, err := c.Do(t.Context(), r)
+				if h, ok := a.Value.(*httpup.Answer); ok {
+					h.Header.Set("X-Mine", fmt.Sprint(i)) // under -race: two that share it are found
+				} else if i != 3 || err != nil || a.Verdict != engine.Failed || clock.Now() > r.End {
+					t.Errorf("%d: %+v, %v", i, a, err)
+				}
+			})
+			synctest.Wait()
+		}
+		all.Wait()
+	})
+}
+
+// Drawn histories over few keys: no key runs again within its window once a run of it may have had
+// its effect, whatever clients and servers do. With the gate out there are many that do.
+func TestNoKeyRunsTwice(t *testing.T) {
+	const requests = 5000
+	twice := func(gate bool) int {
+		n := 0
+		synctest.Test(t, func(t *testing.T) {
+			clock := engine.NewClock()
+			var mu sync.Mutex
+			rng := rand.New(rand.NewPCG(3, 4))
+			draw := func(n int) int {
+				mu.Lock()
+				defer mu.Unlock()
+				return rng.IntN(n)
+			}
+			ran := map[string]time.Duration{}
+			g := New(repeat.Limits{Entries: 1000, Bytes: 1 << 20, Joiners: 8}, clock)
+			var all sync.WaitGroup
+			for i := range requests {
+				key := fmt.Sprint("k", draw(200))
+				s := &stub{run: func(ctx context.Context, _ int64) (engine.Answer, error) {
+					began := clock.Now()
+					select {
+					case <-time.After(time.Duration(draw(300)) * time.Millisecond):
+					case <-ctx.Done():
+					}
+					how := draw(4)
+					if how == 0 {
+						return engine.Answer{Verdict: engine.Refused}, nil // never ran
+					}
+					mu.Lock()
+					if at, did := ran[key]; did && began < at+window {
+						n++
+					}
+					ran[key] = began
+					mu.Unlock()
+					switch {
+					case ctx.Err() != nil:
+						return engine.Answer{}, engine.ErrLeft
+					case how == 1:
+						return engine.Answer{Verdict: engine.Refused, MayHaveRun: true}, nil
+					case how == 2:
+						return engine.Answer{Verdict: engine.Failed, MayHaveRun: true}, nil
+					}
+					return served(key), nil
+				}}
+				var c ingress.Cluster = s
+				if gate {
+					c = g.Cluster(s, window, 0)
+				}
+				patience := time.Duration(50+draw(400)) * time.Millisecond
+				all.Go(func() {
+					ctx, leave := context.WithTimeout(t.Context(), patience)
+					defer leave()
+					c.Do(ctx, asked(clock, key, "x"))
+				})
+				if i%8 == 0 {
+					time.Sleep(time.Duration(draw(20)) * time.Millisecond)
+				}
+				g.mu.Lock()
+				held := g.store.Len()
+				g.mu.Unlock()
+				if held > 1000 {
+					t.Fatalf("the store holds %d keys, 1000 at most", held)
+				}
+			}
+			all.Wait()
+			synctest.Wait()
+			if len(g.open) > 0 {
+				t.Errorf("%d keys are still open", len(g.open))
+			}
+		})
+		return n
+	}
+	if n := twice(true); n > 0 {
+		t.Errorf("%d runs beside, or behind, one that may have had its effect", n)
+	}
+	if n := twice(false); n < 100 {
+		t.Errorf("without the gate only %d: the check proves little", n)
+	}
+}
