Keep the keys of pushes in a log that survives crashes

Need: a store in memory takes a key that had started before a crash for new, and runs it again.

internal/keylog appends each start, checksummed, and lets its request go once it is synced; what waits goes out in one write and one fsync. After an error nothing more is claimed. Open cuts a torn end off, refuses damage in the middle and a second process, and writes anew what lives. internal/once asks it before a first request runs, and takes up what it knows; one that finds no room for it does not start. Off without [repeats] log.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -20,6 +20,7 @@
 	"yokestall/internal/files"
 	"yokestall/internal/httpup"
 	"yokestall/internal/ingress"
+	"yokestall/internal/keylog"
 	"yokestall/internal/once"
 	"yokestall/internal/repeat"
 	"yokestall/internal/route"
@@ -40,8 +41,9 @@
 	ctx   context.Context
 	stop  context.CancelFunc
 
-	once    *once.Gate // nil: repeats over HTTP run like any request
-	mu      sync.Mutex // one change at a time
+	keys    *keylog.Log // nil: none is kept
+	once    *once.Gate  // nil: repeats over HTTP run like any request
+	mu      sync.Mutex  // one change at a time
 	state   atomic.Pointer[state]
 	retired sync.WaitGroup // clusters that run on without a place in the state
 
@@ -65,6 +67,7 @@
 	// server, and the time; nil if nobody wants to know. It must not block.
 	Sent func(cluster string, server uint64, at time.Time)
 	Keys *tlskeys.Store // nil: there is no TLS
+	Path string         // of the program's file, beside which others lie
 }
 
 // New starts an app on a first version. Close ends it.
@@ -75,6 +78,10 @@
 		a.once = once.New(repeat.Limits{
 			Entries: set.Entries, Bytes: set.Bytes, Joiners: maxJoiners, Tenants: len(first.Program.Tenants),
 		}, a.clock)
+		if err := a.keepKeys(set.Log); err != nil {
+			a.Close()
+			return nil, err
+		}
 	}
 	a.state.Store(&state{clusters: map[string]*running{}})
 	if err := a.Take(first); err != nil {
@@ -96,6 +103,24 @@
 		r.wait()
 	}
 	a.retired.Wait()
+	if a.keys != nil {
+		if err := a.keys.Close(); err != nil {
+			a.Log.Error("keys that have started are not safe from a crash", "err", err)
+		}
+	}
+}
+
+// keepKeys opens the log of keys, if there is one.
+func (a *App) keepKeys(path string) error {
+	if path == "" {
+		return nil
+	}
+	var known []keylog.Known
+	var err error
+	if a.keys, known, err = keylog.Open(files.Beside(a.Path, path), time.Now(), nil); err != nil {
+		return err
+	}
+	return a.once.Keep(a.keys, known)
 }
 
 // Take puts a version in force. When it returns, the engines were told: from
--- a/internal/app/once_test.go
+++ b/internal/app/once_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	r.Host = "rooms.example" // the address is another one after a restart
 	r.Header.Set("Idempotency-Key", key)
 	resp, err := s.client.Do(r)
 	if err != nil {
@@ -153,3 +155,25 @@
 		t.Errorf("another body: status %d", status)
 	}
 }
+
+// The program ends and comes back with its log: what was answered before is not run again.
+func TestKeysOutliveTheProgram(t *testing.T) {
+	var runs atomic.Int64
+	box := cluster.Endpoint{ID: "s-0", Address: testkit.NewBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		testkit.OK(w, r)
+	}).Addr()}
+	text := strings.Replace(pushes, "ENTRIES", "10\nlog = \"keys\"", 1)
+	folder := t.TempDir()
+	for i, want := range []int{http.StatusOK, http.StatusConflict} {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			s := serveWith(t, snapshot(parse(t, text), rooms(box)), Options{Seed: 1, Log: testkit.Log(t), Path: folder + "/yokestall.toml"})
+			if status, _, _ := s.push("k", "x", testkit.Patience); status != want {
+				t.Errorf("status %d, want %d", status, want)
+			}
+		})
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	o := app.Options{Seed: rand.Uint64(), Log: log}
+	o := app.Options{Seed: rand.Uint64(), Log: log, Path: path}
 	keys := first.Program.Keys
 	if keys.Folder != "" {
 		if o.Keys, err = tlskeys.Open(files.Beside(path, keys.Folder), keys.First, log); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -145,6 +145,7 @@
 type Repeats struct {
 	Entries int
 	Bytes   int64
+	Log     string // file; "": what is known ends with the process
 }
 
 // ExtProc is where other proxies ask what to do with their requests (envoy.service.ext_proc.v3);
@@ -330,8 +331,9 @@
 		ClientNeeds bool     `toml:"client_required"`
 	} `toml:"extproc"`
 	Repeats struct {
-		Entries int   `toml:"entries"`
-		MB      int64 `toml:"mb"`
+		Entries int    `toml:"entries"`
+		MB      int64  `toml:"mb"`
+		Log     string `toml:"log"`
 	} `toml:"repeats"`
 	Limits struct {
 		Attempts      int      `toml:"attempts"`
@@ -793,10 +795,13 @@
 }
 
 func (p *Program) extproc(f *programFile, report reporter) {
-	p.Repeats = Repeats{Entries: f.Repeats.Entries, Bytes: f.Repeats.MB << 20}
+	p.Repeats = Repeats{Entries: f.Repeats.Entries, Bytes: f.Repeats.MB << 20, Log: f.Repeats.Log}
 	if n := f.Repeats.Entries; n < 0 || n > 10e6 {
 		report("repeats", -1, "entries", "%d is not from 0 to 10000000", n)
 	}
+	if f.Repeats.Log != "" && f.Repeats.Entries == 0 {
+		report("repeats", -1, "log", "without entries nothing is written to it")
+	}
 	if n := f.Repeats.MB; n < 1 || n > 1<<20 {
 		report("repeats", -1, "mb", "%d is not from 1 to 1048576", n)
 	}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -17,6 +17,7 @@
 	"yokestall/internal/engine"
 	"yokestall/internal/httpup"
 	"yokestall/internal/ingress"
+	"yokestall/internal/keylog"
 	"yokestall/internal/repeat"
 )
 
@@ -29,12 +30,15 @@
 
 	mu    sync.Mutex
 	store *repeat.Store
+	log   Log                      // nil: what is known ends with the process
 	open  map[*repeat.Entry]*first // as many as the store has running entries
 }
 
 // first is a request that runs under a key.
 type first struct {
 	entry  *repeat.Entry
+	key    repeat.Key
+	print  repeat.Print
 	stop   context.CancelFunc
 	left   bool          // its client has; guarded by Gate.mu
 	over   chan struct{} // closed at the end, after the following are set
@@ -47,6 +51,28 @@
 	return &Gate{clock: clock, store: repeat.New(l), open: map[*repeat.Entry]*first{}}
 }
 
+// Log outlives the process; *keylog.Log is one.
+type Log interface {
+	// Started returns nil once it is durable that the key has started.
+	Started(key repeat.Key, print repeat.Print, until time.Time) error
+	Finished(key repeat.Key, how repeat.End)
+}
+
+// Keep has the gate write keys to a log, and take up what that one knows. No request may have
+// passed the gate yet. It is an error if there is no room for all that is known: to forget some
+// of it would be to run them again.
+func (g *Gate) Keep(log Log, known []keylog.Known) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.log = log
+	for _, k := range known {
+		if !g.store.Restore(k.Key, k.Print, k.Answered, g.clock.At(k.Until)) {
+			return fmt.Errorf("repeats: the log knows %d keys, more than there is room for", len(known))
+		}
+	}
+	return nil
+}
+
 // Cluster gives a cluster whose requests pass the gate. What comes of one is known for window,
 // from its start; wait is what a request for which there is no room is told at the least.
 func (g *Gate) Cluster(inner ingress.Cluster, window, wait time.Duration) ingress.Cluster {
@@ -71,12 +97,13 @@
 	key := repeat.Key{Tenant: r.Tenant, Name: o.Header.Get("Idempotency-Key")}
 	whole := o.Upload == nil // else it can neither be told from another nor wait with its body unread
 	c.mu.Lock()
-	verdict, entry, wait := c.store.Ask(c.clock.Now(), key, print(r.Class, o), c.window, whole)
+	mark := print(r.Class, o)
+	verdict, entry, wait := c.store.Ask(c.clock.Now(), key, mark, c.window, whole)
 	var f *first
 	var kept any
 	switch verdict {
 	case repeat.First:
-		f = &first{entry: entry, over: make(chan struct{})}
+		f = &first{entry: entry, key: key, print: mark, over: make(chan struct{})}
 		c.open[entry] = f
 	case repeat.Joined:
 		f = c.open[entry]
@@ -110,7 +137,11 @@
 	f.stop = stop
 	go func() {
 		defer stop()
-		f.answer, f.err = c.inner.Do(apart, r)
+		if c.log != nil && c.log.Started(f.key, f.print, c.clock.Wall(c.clock.Now()+c.window)) != nil {
+			f.answer = engine.Answer{Verdict: engine.Refused, RetryAfter: c.wait} // it could run twice after a crash
+		} else {
+			f.answer, f.err = c.inner.Do(apart, r)
+		}
 		c.end(f)
 	}()
 	select {
@@ -154,6 +185,9 @@
 		}
 	}
 	c.store.End(c.clock.Now(), f.entry, how, outcome, size)
+	if c.log != nil {
+		c.log.Finished(f.key, how) // under the lock: a later start of the key comes behind it
+	}
 	delete(c.open, f.entry)
 	close(f.over)
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"yokestall/internal/engine"
 	"yokestall/internal/httpup"
 	"yokestall/internal/ingress"
+	"yokestall/internal/keylog"
 	"yokestall/internal/repeat"
 )
 
@@ -155,6 +157,68 @@
 	}
 }
 
+// A process is killed at a drawn moment and comes back with its log: a key that had started is not
+// taken for new, one that was refused is, and one whose start the disk did not take never ran.
+func TestKnownAfterACrash(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	clock := engine.NewClock()
+	start := func(s *stub) (ingress.Cluster, *keylog.Log) {
+		log, known, err := keylog.Open(path, time.Now(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := New(limits(), clock)
+		if err := g.Keep(log, known); err != nil {
+			t.Fatal(err)
+		}
+		return g.Cluster(s, time.Hour, 0), log
+	}
+	running := make(chan struct{})
+	s := &stub{run: func(ctx context.Context, n int64) (engine.Answer, error) {
+		switch n {
+		case 1:
+			return served("a"), nil
+		case 2:
+			return engine.Answer{Verdict: engine.Refused}, nil
+		}
+		close(running)
+		<-ctx.Done()
+		return engine.Answer{}, engine.ErrLeft
+	}}
+	c, log := start(s)
+	c.Do(t.Context(), asked(clock, "answered", "x"))
+	c.Do(t.Context(), asked(clock, "refused", "x"))
+	ctx, kill := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	all.Go(func() { c.Do(ctx, asked(clock, "open", "x")) })
+	<-running
+	log.Close() // what is told from here on is lost, as by a kill
+	kill()
+	all.Wait()
+	if a, err := c.Do(t.Context(), asked(clock, "late", "x")); err != nil || a.Verdict != engine.Refused || s.runs.Load() != 3 {
+		t.Errorf("a start that is not durable: %+v, %v, %d runs", a, err, s.runs.Load())
+	}
+	again := &stub{run: func(context.Context, int64) (engine.Answer, error) { return served("b"), nil }}
+	c, log = start(again)
+	defer log.Close()
+	for key, want := range map[string]int64{"answered": 0, "open": 0, "refused": 1, "late": 1} {
+		before := again.runs.Load()
+		if c.Do(t.Context(), asked(clock, key, "x")); again.runs.Load()-before != want {
+			t.Errorf("%s: %d runs after the crash, want %d", key, again.runs.Load()-before, want)
+		}
+	}
+	log.Close()
+	g := New(repeat.Limits{Entries: 2, Bytes: 1 << 20}, clock)
+	log, known, err := keylog.Open(path, time.Now(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	if g.Keep(log, known) == nil {
+		t.Errorf("%d known keys are taken into a store of two", len(known))
+	}
+}
+
 // Joiners keep their own time, and no answer's fields are shared between those that change them.
 func TestJoinersKeepTheirOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/repeat/repeat.go
+++ b/internal/repeat/repeat.go
@@ -133,6 +133,26 @@
 	return First, e, 0
 }
 
+// Restore takes up what was known of a key before a restart: that it was answered, with no outcome, or
+// that it may have run. False if there is no room for it, or its key is there already.
+func (s *Store) Restore(key Key, print Print, answered bool, until time.Duration) bool {
+	size := int64(len(key.Name)) + EntryBytes
+	if s.entries[key] != nil || len(s.entries) >= s.limits.Entries || s.bytes+size > s.limits.Bytes {
+		return false
+	}
+	e := &Entry{key: key, print: print, state: Unknown, until: until, size: size}
+	if answered {
+		e.state = Replayed
+	}
+	if s.held[key.Tenant] == nil {
+		s.held[key.Tenant] = &part{}
+	}
+	s.entries[key] = e
+	s.count(e, 1, size)
+	heap.Push(&s.ended, e)
+	return true
+}
+
 // fair tells whether a tenant may hold one more entry of a size.
 func (s *Store) fair(p *part, size int64) bool {
 	if s.limits.Tenants <= 1 {
