Listen to a push whose client did not wait, so that its repeat gets the outcome

Need: the usual repeat comes because the client gave up, and the first was then given up too: its key stayed "may have run" for the whole window, and each repeat got 409 though the server had answered a moment later.

engine.Request.Late hears what a server says at last to an attempt that was out at its request's end; nothing new is sent, and it keeps its connection, within the pool's bound, for the window at most. The store turns the key from unknown to answered, the log too. Off without [repeats] late.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -78,6 +78,9 @@
 		a.once = once.New(repeat.Limits{
 			Entries: set.Entries, Bytes: set.Bytes, Joiners: maxJoiners, Tenants: len(first.Program.Tenants),
 		}, a.clock)
+		if set.Late {
+			a.once.ListenLate()
+		}
 		if err := a.keepKeys(set.Log); err != nil {
 			a.Close()
 			return nil, err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -145,6 +145,7 @@
 type Repeats struct {
 	Entries int
 	Bytes   int64
+	Late    bool   // attempts are listened to after their client's time
 	Log     string // file; "": what is known ends with the process
 }
 
@@ -334,6 +335,7 @@
 		Entries int    `toml:"entries"`
 		MB      int64  `toml:"mb"`
 		Log     string `toml:"log"`
+		Late    bool   `toml:"late"`
 	} `toml:"repeats"`
 	Limits struct {
 		Attempts      int      `toml:"attempts"`
@@ -795,7 +797,7 @@
 }
 
 func (p *Program) extproc(f *programFile, report reporter) {
-	p.Repeats = Repeats{Entries: f.Repeats.Entries, Bytes: f.Repeats.MB << 20, Log: f.Repeats.Log}
+	p.Repeats = Repeats{Entries: f.Repeats.Entries, Bytes: f.Repeats.MB << 20, Log: f.Repeats.Log, Late: f.Repeats.Late}
 	if n := f.Repeats.Entries; n < 0 || n > 10e6 {
 		report("repeats", -1, "entries", "%d is not from 0 to 10000000", n)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -253,6 +253,11 @@
 	Payload       any           // for the Exchanger
 	MaxAttempts   int           // less than the cluster's limit; 0: that one holds
 	PerTry        time.Duration // the longest that an attempt is waited for; 0: the Balancer's choice
+	// Late, if set, is told what a server says at last to an attempt that was out when the request's
+	// time was up or its client left, unless the request was served. Nothing new is sent for it, it
+	// keeps its connection for Listen at most, and is called on a goroutine of its own.
+	Late   func(answer any)
+	Listen time.Duration
 
 	id       policy.RequestID
 	answer   chan Answer // takes one
@@ -260,8 +265,9 @@
 	first    [1]*attempt // where the usual one goes
 	out      int         // attempts with no outcome yet
 	ended    bool        // has its final answer, or its client left
-	ran      bool        // an attempt that has ended may have run
-	said     any         // Result.Answer of the latest attempt that was not served
+	served   bool
+	ran      bool // an attempt that has ended may have run
+	said     any  // Result.Answer of the latest attempt that was not served
 	deadline alarm
 }
 
@@ -270,6 +276,7 @@
 	Call
 	decided time.Duration
 	told    bool // the Balancer has its outcome
+	lingers bool // it is listened to all the same
 	retry   bool // counts in Cluster.retries
 	timeout alarm
 }
@@ -652,7 +659,11 @@
 func (c *Cluster) outcome(now time.Duration, r *Request, index int, res Result) {
 	a := r.attempts[index]
 	if a.told {
-		discard(res.Answer)
+		if a.lingers && res.Status == policy.OK {
+			go r.Late(res.Answer)
+		} else {
+			discard(res.Answer)
+		}
 		return
 	}
 	a.told = true
@@ -661,10 +672,19 @@
 		c.retries--
 	}
 	a.Revoke()
-	a.Stop()
+	served := r.served
+	r.served = served || res.Status == policy.OK
+	if a.lingers = r.Late != nil && !r.served && (r.ended || now >= r.End) && a.gate.Load() == begun &&
+		(res.Status == policy.Timeout || res.Status == policy.Cancelled); a.lingers {
+		time.AfterFunc(r.Listen, a.Stop)
+	} else {
+		a.Stop()
+	}
 	r.ran = r.ran || a.mayHaveRun(res.Status)
 	c.alarms.clear(&a.timeout)
 	switch {
+	case r.ended && r.Late != nil && res.Status == policy.OK && !served:
+		go r.Late(res.Answer)
 	case r.ended:
 		discard(res.Answer)
 	case res.Status == policy.OK:
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -30,6 +30,7 @@
 
 	mu    sync.Mutex
 	store *repeat.Store
+	late  bool                     // attempts that clients did not wait for are listened to
 	log   Log                      // nil: what is known ends with the process
 	open  map[*repeat.Entry]*first // as many as the store has running entries
 }
@@ -51,6 +52,10 @@
 	return &Gate{clock: clock, store: repeat.New(l), open: map[*repeat.Entry]*first{}}
 }
 
+// ListenLate has attempts that are still out when their client's time is up listened to for the rest
+// of the window, so that a repeat gets their outcome. No request may have passed the gate yet.
+func (g *Gate) ListenLate() { g.late = true }
+
 // Log outlives the process; *keylog.Log is one.
 type Log interface {
 	// Started returns nil once it is durable that the key has started.
@@ -133,6 +138,10 @@
 
 // run has the first decided, and waits for it as long as its client does.
 func (c gated) run(ctx context.Context, f *first, r *engine.Request) (engine.Answer, error) {
+	if o := r.Payload.(*httpup.Request); c.late && o.Upload == nil {
+		r.Listen = c.window
+		r.Late = func(answer any) { c.heard(f, answer) }
+	}
 	apart, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.stop = stop
 	go func() {
@@ -160,6 +169,27 @@
 	return engine.Answer{}, engine.ErrLeft
 }
 
+// heard takes a late answer.
+func (c gated) heard(f *first, answer any) {
+	<-f.over
+	a := engine.Answer{Verdict: engine.Served, Value: answer}
+	h, ok := answer.(*httpup.Answer)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var outcome any
+	if shared(a) {
+		outcome = a
+	} else {
+		h.Close()
+	}
+	if c.store.Late(c.clock.Now(), f.entry, outcome, weight(h)) && c.log != nil {
+		c.log.Finished(f.key, repeat.Answered)
+	}
+}
+
 // own is the first's answer to its own client. What the store keeps is not handed out: a front
 // changes the fields of an answer.
 func (f *first) own() (engine.Answer, error) {
--- a/internal/repeat/repeat.go
+++ b/internal/repeat/repeat.go
@@ -133,6 +133,27 @@
 	return First, e, 0
 }
 
+// Late tells what became at last of a request whose End was Lost; false if its key is not known any
+// more, or an outcome of it is.
+func (s *Store) Late(now time.Duration, e *Entry, outcome any, size int64) bool {
+	s.expire(now)
+	if s.entries[e.key] != e || e.state != Unknown {
+		return false
+	}
+	e.state = Replayed
+	s.keep(e, outcome, size)
+	return true
+}
+
+// keep takes an outcome up if there is room for it.
+func (s *Store) keep(e *Entry, outcome any, size int64) {
+	p := s.held[e.key.Tenant]
+	if outcome != nil && s.bytes+size <= s.limits.Bytes && (s.limits.Tenants <= 1 || p.bytes+size <= s.limits.Bytes/int64(len(s.held)+1)) {
+		e.Outcome, e.size = outcome, e.size+size
+		s.count(e, 0, size)
+	}
+}
+
 // Restore takes up what was known of a key before a restart: that it was answered, with no outcome, or
 // that it may have run. False if there is no room for it, or its key is there already.
 func (s *Store) Restore(key Key, print Print, answered bool, until time.Duration) bool {
@@ -201,11 +222,7 @@
 		e.state = Unknown
 	default:
 		e.state = Replayed
-		p := s.held[e.key.Tenant]
-		if outcome != nil && s.bytes+size <= s.limits.Bytes && (s.limits.Tenants <= 1 || p.bytes+size <= s.limits.Bytes/int64(len(s.held)+1)) {
-			e.Outcome, e.size = outcome, e.size+size
-			s.count(e, 0, size)
-		}
+		s.keep(e, outcome, size)
 	}
 	heap.Push(&s.ended, e)
 }
