One fingerprint and one weight of kept answers for both fronts

internal/once had written again what the external processor had: the digest that tells requests under a key apart, and the bytes that an answer takes to keep. The processor uses once.Print and once.Weight now.

--- a/internal/extproc/extproc.go
+++ b/internal/extproc/extproc.go
@@ -9,10 +9,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"fmt"
-	"hash"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -31,6 +29,7 @@
 	"yokestall/internal/engine"
 	"yokestall/internal/httpup"
 	"yokestall/internal/ingress"
+	"yokestall/internal/once"
 	"yokestall/internal/repeat"
 	"yokestall/policy"
 )
@@ -360,7 +359,7 @@
 	}
 	s := x.s
 	s.mu.Lock()
-	v, e, wait := s.repeats.Ask(s.Clock.Now(), key, x.print(body), window, join)
+	v, e, wait := s.repeats.Ask(s.Clock.Now(), key, once.Print(x.to.Class, x.req.Method, x.req.RequestURI, x.req.Host, body), window, join)
 	switch v {
 	case repeat.First:
 		b.entry, b.first = e, &first{over: make(chan struct{})}
@@ -408,12 +407,7 @@
 	var outcome any
 	size := int64(0)
 	if a != nil {
-		outcome, size = a, int64(len(a.Body))
-		for name, values := range a.Header {
-			for _, v := range values {
-				size += int64(len(name) + len(v))
-			}
-		}
+		outcome, size = a, once.Weight(a)
 	}
 	s.repeats.End(s.Clock.Now(), b.entry, end, outcome, size)
 	close(b.first.over)
@@ -456,20 +450,3 @@
 	fields.Set("Idempotent-Replayed", "true")
 	return x.send(immediate(a.Status, fields, a.Body, "replayed"))
 }
-
-// print tells the request from another under the same key. SHA-256, as who chooses keys and bodies
-// would choose collisions too.
-func (x *exchange) print(body []byte) (p repeat.Print) {
-	h := sha256.New()
-	part(h, x.req.Method, x.req.RequestURI, x.req.Host, strconv.Itoa(x.to.Class))
-	h.Write(body)
-	copy(p[:], h.Sum(nil))
-	return p
-}
-
-// part adds texts with their lengths, so that no two lists of them are alike.
-func part(h hash.Hash, texts ...string) {
-	for _, t := range texts {
-		fmt.Fprintf(h, "%d:%s", len(t), t)
-	}
-}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -102,7 +102,7 @@
 	key := repeat.Key{Tenant: r.Tenant, Name: o.Header.Get("Idempotency-Key")}
 	whole := o.Upload == nil // else it can neither be told from another nor wait with its body unread
 	c.mu.Lock()
-	mark := print(r.Class, o)
+	mark := Print(r.Class, o.Method, o.Target, o.Host, o.Body)
 	verdict, entry, wait := c.store.Ask(c.clock.Now(), key, mark, c.window, whole)
 	var f *first
 	var kept any
@@ -185,7 +185,7 @@
 	} else {
 		h.Close()
 	}
-	if c.store.Late(c.clock.Now(), f.entry, outcome, weight(h)) && c.log != nil {
+	if c.store.Late(c.clock.Now(), f.entry, outcome, Weight(h)) && c.log != nil {
 		c.log.Finished(f.key, repeat.Answered)
 	}
 }
@@ -211,7 +211,7 @@
 	case f.err == nil && f.answer.Verdict == engine.Served:
 		how = repeat.Answered
 		if shared(f.answer) {
-			outcome, size = f.answer, weight(f.answer.Value.(*httpup.Answer))
+			outcome, size = f.answer, Weight(f.answer.Value.(*httpup.Answer))
 		}
 	}
 	c.store.End(c.clock.Now(), f.entry, how, outcome, size)
@@ -276,7 +276,8 @@
 	return a
 }
 
-func weight(a *httpup.Answer) int64 {
+// Weight is what an answer takes to keep, in bytes.
+func Weight(a *httpup.Answer) int64 {
 	size := int64(len(a.Body))
 	for _, fields := range []http.Header{a.Header, a.Trailer} {
 		for name, values := range fields {
@@ -288,15 +289,15 @@
 	return size
 }
 
-// print tells the request from another under the same key, by SHA-256: who chooses keys and bodies
+// Print tells the request from another under the same key, by SHA-256: who chooses keys and bodies
 // would choose collisions of a weaker one too.
-func print(class int, o *httpup.Request) (p repeat.Print) {
+func Print(class int, method, target, host string, body []byte) (p repeat.Print) {
 	h := sha256.New()
-	for _, part := range []string{o.Method, o.Target, o.Host} {
+	for _, part := range []string{method, target, host} { // with lengths, so that no two lists are alike
 		fmt.Fprintf(h, "%d:%s", len(part), part)
 	}
 	fmt.Fprintf(h, "%d:", class)
-	h.Write(o.Body)
+	h.Write(body)
 	copy(p[:], h.Sum(nil))
 	return p
 }
