Agree on versions: a log over raft, leases, and what is acted on in between

Two nodes that were told different things acted on them for as long as nobody looked. A version that contradicts the present one is in force when a majority of the voters has said that nobody whom it granted a lease acts on the old one; meanwhile nodes act on the stricter of both, which contradicts neither.

Eight guards, each left out once, are found by the same runs.

--- /dev/null
+++ b/internal/fleet/agree/alone_test.go
@@ -0,0 +1,51 @@
+package agree
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/policy"
+)
+
+// Cautious, a cut-off node sends nothing twice and nothing whose route or servers could matter, whatever version follows.
+func TestAlone(t *testing.T) {
+	rng := rand.New(rand.NewPCG(39, 2))
+	now := time.UnixMilli(3000)
+	for range 300 {
+		last, next := drawn(t, rng), drawn(t, rng)
+		a := Alone(last, AloneRules{AloneCautious, AloneCautious, AloneCautious, 0}, now)
+		if a.Program.Limits.MaxAttempts != 1 || a.Program.Limits.SecondCopies {
+			t.Fatalf("attempts: %+v", a.Program.Limits)
+		}
+		for _, c := range last.Program.Classes {
+			if c.Effect != policy.Safe && a.Refused[c.Name] == "" {
+				t.Fatalf("class %s is served alone", c.Name)
+			}
+		}
+		// Of what is left, only what the documents name may be laxer than a version that follows: a server that is out by then, or has
+		// moved or started; wider budgets; routes of a class that was safe and is no more.
+		if err := AsStrict(a, next); err != nil && !strings.HasPrefix(err.Error(), "server ") && !strings.HasPrefix(err.Error(), "cold ") &&
+			!strings.HasPrefix(err.Error(), "host ") {
+			t.Fatal(err)
+		}
+		for _, e := range a.Clusters["rooms"].Endpoints {
+			if e.Serves() && e.Started > 0 {
+				t.Fatalf("%s may be cold", e.ID)
+			}
+		}
+	}
+	last := version(t, program, servers)
+	if a := Alone(last, AloneRules{AloneServeLast, AloneServeLast, AloneServeLast, 0}, now); AsStrict(a, last) != nil || AsStrict(Acting{Version: last}, a.Version) != nil || len(a.Refused) > 0 {
+		t.Errorf("not as the last: %v", a.Refused)
+	}
+	for _, r := range []AloneRules{{AloneRefuse, AloneServeLast, AloneServeLast, 0}, {AloneServeLast, AloneRefuse, AloneServeLast, 0}, {AloneServeLast, AloneServeLast, AloneRefuse, 0}} {
+		if a := Alone(last, r, now); len(a.Refused) != 2 {
+			t.Errorf("%+v: %v", r, a.Refused)
+		}
+	}
+	if _, err := ParseCaution("brave"); err == nil {
+		t.Error("brave is a caution")
+	}
+}
--- a/internal/fleet/agree/contradict.go
+++ b/internal/fleet/agree/contradict.go
@@ -168,37 +168,13 @@
 // routes compares hosts by their domains. Of a host that changed all routes from the first one that differs on
 // count, since the first that fits a request is taken.
 func (d *differ) routes(from, to *config.Program) {
-	type host struct{ from, to []route.Route }
-	hosts := map[string]*host{}
-	at := func(h *route.VirtualHost) *host {
-		names := slices.Clone(h.Domains)
-		slices.Sort(names)
-		key := strings.Join(names, " ")
-		if hosts[key] == nil {
-			hosts[key] = &host{}
-		}
-		return hosts[key]
-	}
-	for i := range from.Hosts {
-		at(&from.Hosts[i]).from = from.Hosts[i].Routes
-	}
-	for i := range to.Hosts {
-		at(&to.Hosts[i]).to = to.Hosts[i].Routes
-	}
-	for name, h := range hosts {
-		same := 0
-		for same < min(len(h.from), len(h.to)) && reflect.DeepEqual(h.from[same], h.to[same]) {
-			same++
-		}
-		if same == len(h.from) && same == len(h.to) {
-			continue
-		}
+	tails(from, to, func(host string, a, b []route.Route, same int) {
 		kind := RouteOfSafe
-		if keyed(from, h.from[same:]) || keyed(to, h.to[same:]) {
+		if keyed(from, a) || keyed(to, b) {
 			kind = RouteOfKeys
 		}
-		d.list = append(d.list, Difference{kind, name, fmt.Sprint(len(h.from), " routes"), fmt.Sprintf("%d, from the %d. on others", len(h.to), same+1), d.table[kind].Contradicts})
-	}
+		d.list = append(d.list, Difference{kind, host, fmt.Sprint(same+len(a), " routes"), fmt.Sprintf("%d, from the %d. on others", same+len(b), same+1), d.table[kind].Contradicts})
+	})
 }
 
 // keyed tells whether any of the routes leads to a class that is not safe.
--- a/internal/fleet/agree/contradict_test.go
+++ b/internal/fleet/agree/contradict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -74,6 +75,32 @@
 	return &Version{p, map[string]*cluster.Cluster{c.Name: c}}
 }
 
+// changes has one for each kind of difference.
+var changes = []struct {
+	old, new string
+	want     Kind
+	back     Kind // of the same change, undone
+}{
+	{"effect = \"safe\"", "effect = \"unsafe\"", ClassEffect, ClassEffect},
+	{"scope = \"all\"", "scope = \"zone\"", ClassScope, ClassScope},
+	{"window = \"6s\"", "window = \"2m\"", ClassWindow, ClassWindow},
+	{"deadline = \"1s\"", "deadline = \"2s\"", ClassService, ClassService},
+	{"[[host]]\n[[host.route]]\nprefix = \"/read\"", "[[class]]\nname = \"more\"\neffect = \"unsafe\"\ndeadline = \"1s\"\n[[host]]\n[[host.route]]\nprefix = \"/read\"", ClassComes, ClassGoes},
+	{"quota_per_s = 10", "quota_per_s = 20", TenantQuota, TenantQuota},
+	{"attempts = 3", "attempts = 2", Attempts, Attempts},
+	{"nodes = 3", "nodes = 5", Nodes, Nodes},
+	{"nodes = 3", "nodes = 3\ncold_for = \"9s\"", Cold, Cold},
+	{"prefix = \"/\"\n", "prefix = \"/new\"\n", RouteOfKeys, RouteOfKeys},
+	{"prefix = \"/read\"", "prefix = \"/see\"", RouteOfSafe, RouteOfSafe},
+	{"address = \"127.0.0.1:9001\"", "address = \"127.0.0.1:9003\"", ServerMoved, ServerMoved},
+	{"zone = \"a\"\nweight = 1\n[[", "zone = \"a\"\nweight = 1\nstarted_ms = 5\n[[", ServerStarted, ServerStarted},
+	{"zone = \"a\"\nweight = 1\n[[", "zone = \"b\"\nweight = 1\n[[", ServerGroup, ServerGroup},
+	{"weight = 1\n[[", "weight = 2\n[[", ServerSize, ServerSize},
+	{"weight = 1\n[[", "weight = 1\nhealth = \"unhealthy\"\n[[", ServerOut, ServerIn},
+	{"health = \"draining\"", "health = \"healthy\"", ServerIn, ServerOut},
+	{"id = \"s-1\"", "id = \"s-0\"", ServerOut, ServerOut},
+}
+
 // Each kind of difference is found, as what it is and nothing else, and contradicts as the table says.
 func TestDifferences(t *testing.T) {
 	from := version(t, program, servers)
@@ -81,30 +108,7 @@
 		t.Fatalf("between equals: %v", list)
 	}
 	found := map[Kind]bool{}
-	for _, tc := range []struct {
-		old, new string
-		want     Kind
-		back     Kind // of the same change, undone
-	}{
-		{"effect = \"safe\"", "effect = \"unsafe\"", ClassEffect, ClassEffect},
-		{"scope = \"all\"", "scope = \"zone\"", ClassScope, ClassScope},
-		{"window = \"6s\"", "window = \"2m\"", ClassWindow, ClassWindow},
-		{"deadline = \"1s\"", "deadline = \"2s\"", ClassService, ClassService},
-		{"[[host]]\n[[host.route]]\nprefix = \"/read\"", "[[class]]\nname = \"more\"\neffect = \"unsafe\"\ndeadline = \"1s\"\n[[host]]\n[[host.route]]\nprefix = \"/read\"", ClassComes, ClassGoes},
-		{"quota_per_s = 10", "quota_per_s = 20", TenantQuota, TenantQuota},
-		{"attempts = 3", "attempts = 2", Attempts, Attempts},
-		{"nodes = 3", "nodes = 5", Nodes, Nodes},
-		{"nodes = 3", "nodes = 3\ncold_for = \"9s\"", Cold, Cold},
-		{"prefix = \"/\"\n", "prefix = \"/new\"\n", RouteOfKeys, RouteOfKeys},
-		{"prefix = \"/read\"", "prefix = \"/see\"", RouteOfSafe, RouteOfSafe},
-		{"address = \"127.0.0.1:9001\"", "address = \"127.0.0.1:9003\"", ServerMoved, ServerMoved},
-		{"zone = \"a\"\nweight = 1\n[[", "zone = \"a\"\nweight = 1\nstarted_ms = 5\n[[", ServerStarted, ServerStarted},
-		{"zone = \"a\"\nweight = 1\n[[", "zone = \"b\"\nweight = 1\n[[", ServerGroup, ServerGroup},
-		{"weight = 1\n[[", "weight = 2\n[[", ServerSize, ServerSize},
-		{"weight = 1\n[[", "weight = 1\nhealth = \"unhealthy\"\n[[", ServerOut, ServerIn},
-		{"health = \"draining\"", "health = \"healthy\"", ServerIn, ServerOut},
-		{"id = \"s-1\"", "id = \"s-0\"", ServerOut, ServerOut},
-	} {
+	for _, tc := range changes {
 		to := version(t, strings.Replace(program, tc.old, tc.new, 1), strings.Replace(servers, tc.old, tc.new, 1))
 		for _, dir := range []struct {
 			list []Difference
@@ -123,6 +127,50 @@
 	}
 }
 
+// drawn is a version with some of the changes.
+func drawn(t *testing.T, rng *rand.Rand) *Version {
+	p, c := program, servers
+	for _, tc := range changes {
+		if rng.IntN(4) == 0 {
+			p, c = strings.Replace(p, tc.old, tc.new, 1), strings.Replace(c, tc.old, tc.new, 1)
+		}
+	}
+	return version(t, p, c)
+}
+
+// What a node acts on between two versions contradicts neither, whatever differs; and a version that contradicts another is told
+// to be laxer than it in one direction at least, so the check says something.
+func TestStricter(t *testing.T) {
+	rng := rand.New(rand.NewPCG(39, 1))
+	laxer := 0
+	for range 2000 {
+		a, b := drawn(t, rng), drawn(t, rng)
+		joint := Stricter(a, b)
+		for _, v := range []*Version{a, b} {
+			if err := AsStrict(joint, v); err != nil {
+				t.Fatalf("%v\ndifferences: %v", err, Differences(a, b))
+			}
+		}
+		there, back := AsStrict(Acting{Version: a}, b), AsStrict(Acting{Version: b}, a)
+		if Contradicts(Differences(a, b)) && there == nil && back == nil {
+			t.Fatalf("neither is laxer: %v", Differences(a, b))
+		}
+		if there != nil {
+			laxer++
+		}
+	}
+	if laxer < 200 {
+		t.Errorf("%d laxer ones of 2000", laxer)
+	}
+	for _, tc := range changes { // of one kind alone, too
+		a := version(t, program, servers)
+		b := version(t, strings.Replace(program, tc.old, tc.new, 1), strings.Replace(servers, tc.old, tc.new, 1))
+		if row := Table()[tc.want]; row.Contradicts && AsStrict(Acting{Version: a}, b) == nil && AsStrict(Acting{Version: b}, a) == nil {
+			t.Errorf("%s: neither is laxer", row.What)
+		}
+	}
+}
+
 // The table of the documents is the program's.
 func TestTableOfDocuments(t *testing.T) {
 	text, err := os.ReadFile("../../../docs/agree.md")
--- /dev/null
+++ b/internal/fleet/agree/lease.go
@@ -0,0 +1,282 @@
+package agree
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Terms are the figures of leases, the same at every node of a fleet.
+type Terms struct {
+	Lease time.Duration // that a voter grants, in true time
+	Drift float64       // most that a clock's rate differs from true time: 0.1 is a tenth
+	Take  time.Duration // that a node needs to take a version once it has heard of it
+}
+
+// hold is how long the one who was granted a lease counts on it, by its own clock: no longer than the lease on the
+// fastest... slowest clock allowed, since a slow clock shows less time than has passed.
+func (t Terms) hold() time.Duration { return time.Duration(float64(t.Lease) * (1 - t.Drift)) }
+
+// keep is how long the one who granted it counts on it: no less than the lease, on the fastest clock allowed.
+func (t Terms) keep() time.Duration {
+	return time.Duration(math.Ceil(float64(t.Lease) * (1 + t.Drift)))
+}
+
+// Bound is the longest time from a version's place in the log until nobody acts on what it contradicts: every node has
+// confirmed, or its last lease has ended on the clock of the slowest voter that counts it.
+func (t Terms) Bound() time.Duration {
+	return time.Duration(float64(t.keep())/(1-t.Drift)) + t.Take
+}
+
+// Renew is how often a lease is asked for again: three tries fit before it ends.
+func (t Terms) Renew() time.Duration { return t.hold() / 4 }
+
+// Facts are what a voter has learnt from the log, at an index. They were true of it once, whoever tells them.
+type Facts struct {
+	Index   uint64 `json:"index"`
+	Epoch   uint64 `json:"epoch"`
+	Number  uint64 `json:"number"`
+	Pending uint64 `json:"pending"`
+}
+
+// Facts gives the state's.
+func (s *State) Facts() Facts { return Facts{s.Index, s.Epoch, s.Number, s.Pending} }
+
+func (f Facts) upto() uint64 {
+	if f.Pending != 0 {
+		return f.Epoch + 1
+	}
+	return f.Epoch
+}
+
+// Ask is what a node asks each voter for, again and again.
+type Ask struct {
+	Node      string `json:"node"`
+	Life      string `json:"life"`      // of the process: another one after each start
+	Seq       uint64 `json:"seq"`       // by which the answer is told from those to earlier asks
+	Confirmed uint64 `json:"confirmed"` // it acts on nothing any more that came before this epoch
+}
+
+// Grant is a voter's promise: for the length of a lease from the ask on, it clears no epoch past Upto unless the node
+// confirms it.
+type Grant struct {
+	Voter uint64 `json:"voter"`
+	Seq   uint64 `json:"seq"`
+	Upto  uint64 `json:"upto"`
+	Facts Facts  `json:"facts"`
+}
+
+// MaxHolders is how many processes a voter grants leases to at once. Those of processes that ended count until they end.
+const MaxHolders = 4096
+
+// ErrFull is that a voter grants as many leases as it may.
+var ErrFull = errors.New("the voter grants as many leases as it may; ask again later")
+
+// Desk is a voter's record of the leases that it has granted. It lives in memory: one that starts waits until
+// all that an earlier life may have granted is over. Times are on the voter's own clock.
+type Desk struct {
+	terms   Terms
+	quiet   time.Duration // it clears nothing before
+	holders map[holder]*held
+}
+
+type holder struct{ node, life string }
+
+type held struct {
+	upto      uint64        // of the last grant
+	end       time.Duration // of the last grant
+	before    time.Duration // end of the last grant up to an earlier epoch
+	confirmed uint64
+}
+
+// NewDesk starts a desk.
+func NewDesk(now time.Duration, t Terms) *Desk {
+	return &Desk{terms: t, quiet: now + t.keep(), holders: map[holder]*held{}}
+}
+
+// Ask grants a lease up to what the voter has heard of.
+func (d *Desk) Ask(now time.Duration, voter uint64, a Ask, s *State) (Grant, error) {
+	key := holder{a.Node, a.Life}
+	h := d.holders[key]
+	if h == nil {
+		if len(d.holders) >= MaxHolders {
+			if d.sweep(now); len(d.holders) >= MaxHolders {
+				return Grant{}, ErrFull
+			}
+		}
+		h = &held{upto: s.Upto()}
+		d.holders[key] = h
+	}
+	h.confirmed = max(h.confirmed, a.Confirmed)
+	if u := s.Upto(); u > h.upto {
+		h.upto, h.before = u, max(h.before, h.end)
+	}
+	h.end = now + d.terms.keep()
+	return Grant{Voter: voter, Seq: a.Seq, Upto: h.upto, Facts: s.Facts()}, nil
+}
+
+// sweep forgets leases that are over.
+func (d *Desk) sweep(now time.Duration) {
+	for key, h := range d.holders {
+		if h.end <= now {
+			delete(d.holders, key)
+		}
+	}
+}
+
+// Clear tells whether an epoch may be cleared: nobody who was granted a lease that ends before it still holds one without
+// having confirmed it. Else it names those who are waited for.
+func (d *Desk) Clear(now time.Duration, epoch uint64) (ok bool, waits []string) {
+	if now < d.quiet {
+		return false, []string{"leases of an earlier life"}
+	}
+	for key, h := range d.holders {
+		end := h.before
+		if h.upto < epoch {
+			end = h.end
+		}
+		if h.confirmed < epoch && now < end {
+			waits = append(waits, key.node)
+		}
+	}
+	slices.Sort(waits)
+	return len(waits) == 0, slices.Compact(waits)
+}
+
+// Rules is what a node acts on: a version whole, or two that contradict together, each by the stricter of both; or
+// neither (Number 0), alone.
+type Rules struct {
+	Epoch   uint64 `json:"epoch"` // up to which a lease has to go for it
+	Number  uint64 `json:"number"`
+	Pending uint64 `json:"pending"` // with Number, the stricter of both
+}
+
+// String says it as operators read it.
+func (r Rules) String() string {
+	switch {
+	case r.Number == 0:
+		return "nothing"
+	case r.Pending != 0:
+		return fmt.Sprintf("the stricter of %d and %d", r.Number, r.Pending)
+	}
+	return fmt.Sprint("version ", r.Number)
+}
+
+// Lease is a node's side: what it may act on, and for how long, by what voters granted it. The node is asked at the
+// moment of each decision and of each send; there is no flag that ages. Times are on the node's own clock, which must
+// count the time in which the machine or the process was suspended.
+type Lease struct {
+	terms     Terms
+	voters    int
+	facts     Facts
+	confirmed uint64
+	seq       uint64
+	asked     map[uint64]time.Duration      // when each ask of late was sent
+	grants    map[uint64][]lent             // by voter, ascending Upto
+	holds     func(number uint64) (ok bool) // whether the node has a version's content, checked
+}
+
+// lent is a grant as its holder counts it.
+type lent struct {
+	upto uint64
+	end  time.Duration
+}
+
+// asksMost is how many asks may be unanswered; an answer to an older one counts for nothing.
+const asksMost = 64
+
+// NewLease starts a node's side; holds tells which versions it could act on.
+func NewLease(t Terms, voters int, holds func(number uint64) bool) *Lease {
+	return &Lease{terms: t, voters: voters, holds: holds, asked: map[uint64]time.Duration{}, grants: map[uint64][]lent{}}
+}
+
+// Ask gives the next ask; it counts from now on, so it must not be sent late on purpose.
+func (l *Lease) Ask(now time.Duration) Ask {
+	l.seq++
+	l.asked[l.seq] = now
+	delete(l.asked, l.seq-asksMost)
+	return Ask{Seq: l.seq, Confirmed: l.confirmed}
+}
+
+// Granted takes an answer. One that arrives twice, or late, counts as it would have at its time.
+func (l *Lease) Granted(g Grant) {
+	l.News(g.Facts)
+	at, known := l.asked[g.Seq]
+	if !known || len(l.grants) >= 2*l.voters && l.grants[g.Voter] == nil {
+		return
+	}
+	end := at + l.terms.hold()
+	list := l.grants[g.Voter]
+	i := slices.IndexFunc(list, func(x lent) bool { return x.upto == g.Upto })
+	if i >= 0 {
+		list[i].end = max(list[i].end, end)
+		return
+	}
+	// Only the epoch acted on and the one that follows matter.
+	list = slices.DeleteFunc(list, func(x lent) bool { return x.upto+1 < l.facts.Epoch })
+	l.grants[g.Voter] = append(list, lent{g.Upto, end})
+}
+
+// News takes what a voter says of the log without a promise.
+func (l *Lease) News(f Facts) {
+	if f.Index > l.facts.Index {
+		l.facts = f
+	}
+}
+
+// Facts gives the latest that were heard.
+func (l *Lease) Facts() Facts { return l.facts }
+
+// count gives how many voters' promises keep epochs past one from being cleared.
+func (l *Lease) count(now time.Duration, epoch uint64) (n int) {
+	for _, list := range l.grants {
+		if slices.ContainsFunc(list, func(x lent) bool { return x.upto <= epoch && now < x.end }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Want gives what the node should act on now, by all that it has heard and holds.
+func (l *Lease) Want(now time.Duration) Rules {
+	f := l.facts
+	whole := Rules{Epoch: f.Epoch, Number: f.Number}
+	joint := Rules{Epoch: f.Epoch + 1, Number: f.Number, Pending: f.Pending}
+	switch {
+	case f.Number == 0:
+	case f.Pending != 0 && l.holds(f.Pending) && l.holds(f.Number) && l.May(now, joint):
+		return joint
+	case l.holds(f.Number) && l.May(now, whole):
+		return whole
+	}
+	return Rules{}
+}
+
+// May tells whether the node may act on rules at this moment.
+func (l *Lease) May(now time.Duration, r Rules) bool {
+	return r.Number != 0 && r.Epoch >= l.confirmed && l.count(now, r.Epoch) > l.voters/2
+}
+
+// Took says that the node acts on rules from now on, and on nothing earlier any more; the next ask confirms it.
+func (l *Lease) Took(r Rules) { l.confirmed = max(l.confirmed, r.Epoch) }
+
+// Left is how long the node may go on acting on rules if it hears nothing more.
+func (l *Lease) Left(now time.Duration, r Rules) time.Duration {
+	var ends []time.Duration
+	for _, list := range l.grants {
+		best := time.Duration(0)
+		for _, x := range list {
+			if x.upto <= r.Epoch {
+				best = max(best, x.end)
+			}
+		}
+		ends = append(ends, best)
+	}
+	slices.Sort(ends)
+	if need := l.voters/2 + 1; r.Number != 0 && len(ends) >= need {
+		return max(0, ends[len(ends)-need]-now)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleet/agree/sim_test.go
@@ -0,0 +1,532 @@
+package agree
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"testing/cryptotest"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// A whole fleet in one thread, in virtual time: voters, followers, publishers, clocks that are fast or slow, a network that
+// loses, delays, holds and repeats, processes that are stopped, killed, and start again on their disks.
+
+// without names a guard that is left out.
+type without string
+
+const (
+	nothing    without = ""
+	leaseCheck without = "the lease is not looked at"
+	atWake     without = "the lease is looked at by a timer"
+	waiting    without = "a version is in force at once"
+	quietStart without = "a voter that starts clears at once"
+	drift      without = "clocks are taken to be exact"
+	fromAnswer without = "a lease counts from its answer on"
+	confirmed  without = "a node confirms before it has changed over"
+	majority   without = "one voter's promise is enough"
+)
+
+type fleetSim struct {
+	t       testing.TB
+	rng     *rand.Rand
+	out     without
+	terms   Terms
+	now     time.Duration
+	queue   eventQueue
+	order   int
+	nodes   []*simNode
+	voters  []uint64
+	faulty  bool
+	acked   map[string]uint64
+	epochs  map[uint64]uint64 // of versions that were ever in force: number to first epoch
+	broken  []string
+	longest time.Duration // from a version's commit to its being in force, with all well
+	versions,
+	changes int
+	pendingAt map[uint64]time.Duration
+}
+
+type simNode struct {
+	id          uint64
+	name        string
+	life        int
+	rate        float64
+	offset      time.Duration
+	voter       *Voter
+	disk        Stored
+	lease       *Lease
+	acting      Rules
+	flag        bool // for atWake
+	down        bool
+	pausedUntil time.Duration
+	cutUntil    time.Duration // all its links
+	deafUntil   time.Duration // what is sent to it is lost
+	late        []func()
+}
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+var simTerms = Terms{Lease: 1500 * time.Millisecond, Drift: 0.1, Take: 100 * time.Millisecond}
+
+func newSim(t testing.TB, seed uint64, voters, followers int, out without) *fleetSim {
+	s := &fleetSim{t: t, rng: rand.New(rand.NewPCG(seed, 39)), out: out, terms: simTerms, acked: map[string]uint64{}, epochs: map[uint64]uint64{}, pendingAt: map[uint64]time.Duration{}}
+	if out == drift {
+		s.terms.Drift = 0
+	}
+	for i := range voters {
+		s.voters = append(s.voters, uint64(i+1))
+	}
+	for i := range voters + followers {
+		n := &simNode{id: uint64(i + 1), name: fmt.Sprint("n", i+1), rate: 1 + simTerms.Drift*(2*s.rng.Float64()-1), offset: time.Duration(s.rng.Int64N(int64(time.Hour)))}
+		if s.rng.IntN(3) == 0 { // the ends of what is allowed
+			n.rate = 1 + simTerms.Drift*float64(2*s.rng.IntN(2)-1)
+		}
+		if i < voters {
+			n.disk = First(s.voters)
+		}
+		s.nodes = append(s.nodes, n)
+		s.start(n)
+	}
+	return s
+}
+
+func (s *fleetSim) at(in time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{s.now + in, s.order, do})
+}
+
+// on has a node do something, once it is awake, if it still lives the same life.
+func (s *fleetSim) on(n *simNode, in time.Duration, do func()) {
+	life := n.life
+	s.at(in, func() {
+		if n.down || n.life != life {
+			return
+		}
+		if n.pausedUntil > s.now {
+			n.late = append(n.late, do)
+			return
+		}
+		do()
+		s.after(n)
+	})
+}
+
+func (n *simNode) clock(now time.Duration) time.Duration {
+	return n.offset + time.Duration(float64(now)*n.rate)
+}
+
+func (s *fleetSim) start(n *simNode) {
+	n.life++
+	n.down, n.acting, n.late, n.pausedUntil = false, Rules{}, nil, 0
+	now := n.clock(s.now)
+	voters := len(s.voters)
+	heard := map[uint64]time.Duration{}
+	n.lease = NewLease(s.terms, voters, func(number uint64) bool { // it takes a while to get it and to read it
+		if _, known := heard[number]; !known {
+			heard[number] = s.now + time.Duration(s.rng.Int64N(int64(400*time.Millisecond)))
+		}
+		return s.now >= heard[number]
+	})
+	if s.out == majority {
+		n.lease.voters = 1
+	}
+	if int(n.id) <= voters {
+		v, err := NewVoter(now, n.id, s.terms, n.disk)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if s.out == quietStart {
+			v.desk.quiet = 0
+		}
+		n.voter = v
+		s.ticks(n)
+	}
+	s.asks(n)
+}
+
+func (s *fleetSim) ticks(n *simNode) {
+	s.on(n, time.Duration(float64(Tick)/n.rate), func() {
+		n.voter.Tick(n.clock(s.now))
+		s.ticks(n)
+	})
+}
+
+func (s *fleetSim) asks(n *simNode) {
+	s.on(n, time.Duration(float64(s.terms.Renew())/n.rate), func() {
+		s.ask(n)
+		s.take(n)
+		s.asks(n)
+	})
+}
+
+func (s *fleetSim) ask(n *simNode) {
+	a := n.lease.Ask(n.clock(s.now))
+	a.Node, a.Life = n.name, fmt.Sprint(n.life)
+	if s.out == confirmed && n.lease.facts.Pending != 0 {
+		a.Confirmed = n.lease.facts.Epoch + 1
+	}
+	for _, id := range s.voters {
+		to := s.nodes[id-1]
+		s.send(n, to, func() {
+			g, err := to.voter.Ask(to.clock(s.now), a)
+			if err == nil {
+				to.voter.Clear(to.clock(s.now))
+				s.send(to, n, func() {
+					if s.out == fromAnswer {
+						n.lease.asked[g.Seq] = n.clock(s.now)
+					}
+					n.lease.Granted(g)
+				})
+			}
+		})
+	}
+}
+
+// send carries something from node to node as the network is.
+func (s *fleetSim) send(from, to *simNode, do func()) {
+	in := time.Millisecond + time.Duration(s.rng.Int64N(int64(8*time.Millisecond)))
+	if from == to {
+		s.on(to, 0, do)
+		return
+	}
+	if from.cutUntil > s.now || to.cutUntil > s.now || to.deafUntil > s.now {
+		return
+	}
+	if s.faulty {
+		switch s.rng.IntN(40) {
+		case 0:
+			return
+		case 1:
+			s.on(to, in+time.Duration(s.rng.Int64N(int64(30*time.Second))), do) // twice, the second time late
+		case 2:
+			in += time.Duration(s.rng.Int64N(int64(3 * time.Second)))
+		}
+	}
+	s.on(to, in, do)
+}
+
+// after does what a node's state asks for once something has happened to it.
+func (s *fleetSim) after(n *simNode) {
+	if v := n.voter; v != nil {
+		for {
+			w, some := v.Ready()
+			if !some {
+				break
+			}
+			s.save(n, w)
+			for _, m := range w.Messages {
+				to := s.nodes[m.GetTo()-1]
+				data, err := proto.Marshal(m)
+				if err != nil {
+					s.t.Fatal(err)
+				}
+				s.send(n, to, func() {
+					got := &pb.Message{}
+					if err := proto.Unmarshal(data, got); err != nil {
+						s.t.Fatal(err)
+					}
+					to.voter.Step(got)
+				})
+				if m.GetType() == pb.MsgSnap {
+					v.SnapshotSent(m.GetTo(), true)
+				}
+			}
+			before := v.State()
+			snap, err := v.Done(w)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			if snap != nil {
+				n.disk.Snapshot = snap
+				n.disk.Entries = slices.DeleteFunc(n.disk.Entries, func(e *pb.Entry) bool { return e.GetIndex() <= snap.GetMetadata().GetIndex() })
+			}
+			s.note(before, v.State())
+			if before.Facts() != v.State().Facts() {
+				n.lease.News(v.State().Facts())
+				for _, to := range s.nodes { // who is connected hears of it
+					s.send(n, to, func() {
+						if f := v.State().Facts(); f.Index > to.lease.facts.Index {
+							to.lease.News(f)
+							s.take(to)
+							s.ask(to)
+						}
+					})
+				}
+			}
+		}
+		if s.out == waiting && v.State().Pending != 0 {
+			v.desk.holders, v.desk.quiet = map[holder]*held{}, 0
+		}
+	}
+	s.take(n)
+}
+
+// note books what a voter has newly applied.
+func (s *fleetSim) note(before, now *State) {
+	for _, m := range now.History {
+		if before.Version(m.Number) == nil {
+			if was, known := s.acked[m.ID]; known && was != m.Number {
+				s.broken = append(s.broken, fmt.Sprintf("%s is version %d and %d", m.ID, was, m.Number))
+			}
+			if s.acked[m.ID] == 0 {
+				s.versions++
+			}
+			s.acked[m.ID] = m.Number
+		}
+	}
+	if p := now.Pending; p != 0 && s.pendingAt[p] == 0 {
+		s.pendingAt[p] = s.now
+	}
+	if p := before.Pending; p != 0 && now.Number == p && s.pendingAt[p] > 0 {
+		s.longest = max(s.longest, s.now-s.pendingAt[p])
+		s.pendingAt[p] = -1
+	}
+}
+
+func (s *fleetSim) save(n *simNode, w Work) {
+	if w.Snapshot != nil {
+		n.disk.Snapshot, n.disk.Entries = w.Snapshot, nil
+	}
+	if w.Hard != nil {
+		n.disk.Hard = w.Hard
+	}
+	if len(w.Entries) > 0 {
+		first := w.Entries[0].GetIndex()
+		n.disk.Entries = slices.DeleteFunc(slices.Clone(n.disk.Entries), func(e *pb.Entry) bool { return e.GetIndex() >= first })
+		n.disk.Entries = append(n.disk.Entries, w.Entries...)
+	}
+}
+
+// take has a node change over to what it should act on.
+func (s *fleetSim) take(n *simNode) {
+	now := n.clock(s.now)
+	if r := n.lease.Want(now); r.Number != 0 && r != n.acting {
+		n.acting = r
+		n.lease.Took(r)
+		s.changes++
+		s.judge(n)
+		if r.Pending != 0 {
+			s.ask(n) // confirms
+		}
+	}
+	n.flag = n.lease.May(now, n.acting)
+}
+
+// acts gives what a node acts on at this moment.
+func (s *fleetSim) acts(n *simNode) Rules {
+	switch {
+	case n.down || n.pausedUntil > s.now:
+		return Rules{}
+	case s.out == leaseCheck:
+		return n.acting
+	case s.out == atWake && n.flag || n.lease.May(n.clock(s.now), n.acting):
+		return n.acting
+	}
+	return Rules{}
+}
+
+// judge holds what a node acts on against all others: from the epochs alone, by the table in contradict.go.
+func (s *fleetSim) judge(n *simNode) {
+	a := s.acts(n)
+	if a.Number == 0 {
+		return
+	}
+	for _, other := range s.nodes {
+		b := s.acts(other)
+		if other == n || b.Number == 0 || a.Number == b.Number || a.Pending != 0 && a.Pending == b.Number || b.Pending != 0 && b.Pending == a.Number {
+			continue
+		}
+		if a.Epoch == b.Epoch || a.Pending != 0 && b.Epoch == a.Epoch-1 || b.Pending != 0 && a.Epoch == b.Epoch-1 {
+			continue
+		}
+		if a.Pending != 0 && b.Pending != 0 && (a.Number == b.Pending || b.Number == a.Pending) {
+			continue
+		}
+		s.broken = append(s.broken, fmt.Sprintf("%v: %s acts on %v, %s on %v", s.now, n.name, a, other.name, b))
+	}
+}
+
+func (s *fleetSim) publish(id string, contradicts bool) {
+	var up []*simNode
+	for _, v := range s.voters {
+		if n := s.nodes[v-1]; !n.down {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	n := up[s.rng.IntN(len(up))]
+	s.on(n, 0, func() {
+		m := &Manifest{ID: id, Base: n.voter.State().Number, Contradicts: contradicts, By: n.name, Parts: []Part{{Name: "a", Hash: fmt.Sprintf("%064d", 1)}}}
+		if n.voter.State().May(m) == nil {
+			n.voter.Propose(&Entry{Propose: m})
+		}
+	})
+}
+
+func (s *fleetSim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+// trouble has one fault befall the fleet.
+func (s *fleetSim) trouble() {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	length := 50*time.Millisecond + time.Duration(s.rng.Int64N(int64(5*time.Second)))
+	switch s.rng.IntN(6) {
+	case 0: // stopped where it stands
+		if n.down || n.pausedUntil > s.now {
+			return
+		}
+		n.pausedUntil = s.now + length
+		life := n.life
+		s.at(length, func() {
+			if n.life != life || n.down {
+				return
+			}
+			n.pausedUntil = 0
+			s.judge(n) // before it has done anything
+			late := n.late
+			n.late = nil
+			for _, do := range late {
+				do()
+				s.after(n)
+			}
+		})
+	case 1: // killed, and started on its disk
+		if n.down {
+			return
+		}
+		n.down = true
+		s.at(length/4, func() { s.start(n) })
+	case 2:
+		n.cutUntil = s.now + length
+	case 3:
+		n.deafUntil = s.now + length
+	case 4: // all voters lose power, and one node hears nothing of it
+		n.cutUntil = s.now + length
+		for _, id := range s.voters {
+			if v := s.nodes[id-1]; !v.down && v != n {
+				v.down = true
+				s.at(length/50, func() { s.start(v) })
+			}
+		}
+	case 5: // half of them from the others
+		for _, other := range s.nodes {
+			if s.rng.IntN(2) == 0 {
+				other.cutUntil = s.now + length
+			}
+		}
+	}
+}
+
+// play runs a fleet under faults, and lets it heal.
+func play(t testing.TB, seed uint64, voters, followers int, out without) *fleetSim {
+	s := newSim(t, seed, voters, followers, out)
+	s.run(2 * time.Second)
+	s.faulty = true
+	for i := range 40 {
+		s.publish(fmt.Sprint("v", i), s.rng.IntN(4) > 0)
+		for range s.rng.IntN(3) {
+			s.trouble()
+		}
+		s.run(s.now + time.Duration(s.rng.Int64N(int64(1500*time.Millisecond))))
+		if len(s.broken) > 0 {
+			return s
+		}
+	}
+	s.faulty = false
+	s.run(s.now + 45*time.Second)
+	return s
+}
+
+// healed checks what must hold once all is well again: one history at all voters, with everything that was
+// acknowledged, and all nodes on its last version.
+func (s *fleetSim) healed() {
+	first := s.nodes[0].voter.State()
+	for _, id := range s.voters[1:] {
+		if other := s.nodes[id-1].voter.State(); !reflect.DeepEqual(first, other) {
+			s.broken = append(s.broken, fmt.Sprintf("voters 1 and %d differ: %+v, %+v", id, first, other))
+		}
+	}
+	for id, number := range s.acked {
+		if m := first.Version(number); m == nil || m.ID != id {
+			s.broken = append(s.broken, fmt.Sprintf("version %d, %s, was acknowledged and is gone", number, id))
+		}
+	}
+	if first.Pending != 0 {
+		s.broken = append(s.broken, fmt.Sprintf("version %d still waits", first.Pending))
+	}
+	for _, n := range s.nodes {
+		if a := s.acts(n); a.Number != first.Number || a.Pending != 0 {
+			s.broken = append(s.broken, fmt.Sprintf("%s acts on %v, not on %d", n.name, a, first.Number))
+		}
+	}
+}
+
+// No two nodes act on versions that contradict, no version is lost, and there is one history, whatever befalls them.
+func TestFleetInVirtualTime(t *testing.T) {
+	seeds := 200
+	if testing.Short() {
+		seeds = 20
+	}
+	versions, changes := 0, 0
+	for seed := range uint64(seeds) {
+		cryptotest.SetGlobalRandom(t, seed)
+		s := play(t, seed, 3+2*int(seed%3), int(seed%5), nothing)
+		s.healed()
+		if len(s.broken) > 0 {
+			t.Fatalf("seed %d: %d findings, first: %s", seed, len(s.broken), s.broken[0])
+		}
+		versions, changes = versions+s.versions, changes+s.changes
+	}
+	if versions < seeds || changes < 4*seeds {
+		t.Errorf("%d versions, %d changes: too few to say anything", versions, changes)
+	}
+	t.Logf("%d seeds: %d versions, %d changes over of a node, no contradiction", seeds, versions, changes)
+}
+
+// Each guard that is left out is found by the same runs.
+func TestGuardsInVirtualTime(t *testing.T) {
+	for _, out := range []without{leaseCheck, atWake, waiting, quietStart, drift, fromAnswer, confirmed, majority} {
+		t.Run(string(out), func(t *testing.T) {
+			for seed := range uint64(400) {
+				cryptotest.SetGlobalRandom(t, seed)
+				if s := play(t, seed, 3+2*int(seed%3), int(seed%5), out); len(s.broken) > 0 {
+					t.Logf("seed %d: %s", seed, s.broken[0])
+					return
+				}
+			}
+			t.Error("not found in 400 seeds")
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/agree/stricter.go
@@ -0,0 +1,178 @@
+package agree
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/config"
+	"yokestall/internal/route"
+	"yokestall/policy"
+)
+
+// Acting is what a node is to act on: a version, and classes of it whose requests are refused, since nothing
+// cautious can be done with them.
+type Acting struct {
+	*Version
+	Refused map[string]string // by class: why
+}
+
+// Stricter gives what contradicts neither of two versions that contradict each other: of each kind of rule the stricter one. A node
+// acts on it from when it has heard of the second until that one is in force, so that it harms neither those that still act on
+// the first nor those that act on the second already.
+func Stricter(from, to *Version) Acting {
+	p := *from.Program
+	out := Acting{&Version{Program: &p, Clusters: map[string]*cluster.Cluster{}}, map[string]string{}}
+	p.Classes = slices.Clone(p.Classes)
+	for i := range p.Classes {
+		a := &p.Classes[i]
+		at := to.Program.Class(a.Name)
+		if at < 0 {
+			continue
+		}
+		b := to.Program.Classes[at]
+		if a.Effect == policy.Keyed && b.Effect == policy.Keyed {
+			a.Scope, a.Window = max(a.Scope, b.Scope), min(a.Window, b.Window)
+		} else if b.Effect == policy.Keyed && a.Effect == policy.Safe {
+			a.Scope, a.Window = b.Scope, b.Window
+		}
+		a.Effect = max(a.Effect, b.Effect)
+	}
+	p.Nodes = max(p.Nodes, to.Program.Nodes)
+	a, b := &p.Rules, &to.Program.Rules
+	a.ColdFrom, a.ColdFor = min(a.ColdFrom, b.ColdFrom), max(a.ColdFor, b.ColdFor)
+	a.FallMultiple, a.FallFor = min(a.FallMultiple, b.FallMultiple), min(a.FallFor, b.FallFor)
+	for name := range keyedRoutes(from.Program, to.Program) {
+		out.Refused[name] = "its routes change"
+	}
+	for name, c := range from.Clusters {
+		out.Clusters[name] = stricterCluster(c, to.Clusters[name])
+	}
+	return out
+}
+
+func stricterCluster(from, to *cluster.Cluster) *cluster.Cluster {
+	after := map[string]*cluster.Endpoint{}
+	if to != nil {
+		for i := range to.Endpoints {
+			after[to.Endpoints[i].ID] = &to.Endpoints[i]
+		}
+	}
+	out := *from
+	out.Endpoints = slices.Clone(from.Endpoints)
+	for i := range out.Endpoints {
+		a := &out.Endpoints[i]
+		b := after[a.ID]
+		switch {
+		case !a.Serves():
+		case b == nil || !b.Serves() || a.Address != b.Address || a.Zone != b.Zone || a.Cell != b.Cell:
+			a.Health = cluster.Draining
+		default:
+			a.Started = max(a.Started, b.Started)
+		}
+	}
+	return &out
+}
+
+// keyedRoutes gives the classes that are not safe, of either version, to which routes lead that differ.
+func keyedRoutes(from, to *config.Program) map[string]bool {
+	out := map[string]bool{}
+	tails(from, to, func(_ string, a, b []route.Route, _ int) {
+		for _, of := range []struct {
+			p    *config.Program
+			list []route.Route
+		}{{from, a}, {to, b}} {
+			for _, r := range of.list {
+				if at := of.p.Class(r.Class); at >= 0 && of.p.Classes[at].Effect != policy.Safe {
+					out[r.Class] = true
+				}
+			}
+		}
+	})
+	return out
+}
+
+// tails gives, for each host of either program by its domains, the routes from the first that differs on, and its place from 0.
+func tails(from, to *config.Program, found func(host string, a, b []route.Route, same int)) {
+	type host struct{ from, to []route.Route }
+	hosts := map[string]*host{}
+	at := func(h *route.VirtualHost) *host {
+		names := slices.Clone(h.Domains)
+		slices.Sort(names)
+		key := strings.Join(names, " ")
+		if hosts[key] == nil {
+			hosts[key] = &host{}
+		}
+		return hosts[key]
+	}
+	for i := range from.Hosts {
+		at(&from.Hosts[i]).from = from.Hosts[i].Routes
+	}
+	for i := range to.Hosts {
+		at(&to.Hosts[i]).to = to.Hosts[i].Routes
+	}
+	for _, name := range slices.Sorted(maps.Keys(hosts)) {
+		h := hosts[name]
+		same := 0
+		for same < min(len(h.from), len(h.to)) && reflect.DeepEqual(h.from[same], h.to[same]) {
+			same++
+		}
+		if same < len(h.from) || same < len(h.to) {
+			found(name, h.from[same:], h.to[same:], same)
+		}
+	}
+}
+
+// AsStrict tells whether acting on a can break no rule that b keeps, kind by kind; else what is laxer. It doesn't know how a was made.
+func AsStrict(a Acting, b *Version) error {
+	for i := range a.Program.Classes {
+		x := &a.Program.Classes[i]
+		at := b.Program.Class(x.Name)
+		if at < 0 || a.Refused[x.Name] != "" {
+			continue
+		}
+		y := &b.Program.Classes[at]
+		switch {
+		case x.Effect < y.Effect:
+			return fmt.Errorf("class %s: %s where the other has %s", x.Name, effect(x.Effect), effect(y.Effect))
+		case x.Effect == policy.Keyed && y.Effect == policy.Keyed && (x.Scope < y.Scope || x.Window > y.Window):
+			return fmt.Errorf("class %s: keys are dropped more widely, or longer, than in the other", x.Name)
+		}
+	}
+	var laxer error
+	tails(a.Program, b.Program, func(host string, mine, theirs []route.Route, _ int) {
+		for _, r := range mine {
+			if at := b.Program.Class(r.Class); at >= 0 && b.Program.Classes[at].Effect != policy.Safe && a.Refused[r.Class] == "" {
+				laxer = fmt.Errorf("host %s: route %s of class %s leads elsewhere in the other", host, r.Name, r.Class)
+			}
+		}
+	})
+	if laxer != nil {
+		return laxer
+	}
+	x, y := &a.Program.Rules, &b.Program.Rules
+	if a.Program.Nodes < b.Program.Nodes || x.ColdFrom > y.ColdFrom || x.ColdFor < y.ColdFor || x.FallMultiple > y.FallMultiple || x.FallFor > y.FallFor {
+		return fmt.Errorf("cold servers' budgets are wider than the other's")
+	}
+	for name, c := range a.Clusters {
+		other := map[string]*cluster.Endpoint{}
+		if o := b.Clusters[name]; o != nil {
+			for i := range o.Endpoints {
+				other[o.Endpoints[i].ID] = &o.Endpoints[i]
+			}
+		}
+		for i := range c.Endpoints {
+			e := &c.Endpoints[i]
+			if !e.Serves() {
+				continue
+			}
+			if o := other[e.ID]; o == nil || !o.Serves() || o.Address != e.Address || o.Zone != e.Zone || o.Cell != e.Cell || e.Started < o.Started {
+				return fmt.Errorf("server %s/%s: in use, and the other has it out, elsewhere or colder", name, e.ID)
+			}
+		}
+	}
+	return nil
+}
