--- /dev/null
+++ b/internal/config/classes.go
@@ -0,0 +1,142 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"yokestall/internal/cluster"
+	"yokestall/policy"
+)
+
+// classFile is the part of a file on classes and tenants.
+type classFile struct {
+	Class []struct {
+		Name      string   `toml:"name" json:"name"`
+		Effect    string   `toml:"effect" json:"effect"`
+		Scope     string   `toml:"scope" json:"scope"`
+		Window    Duration `toml:"window" json:"window"`
+		Deadline  Duration `toml:"deadline" json:"deadline"`
+		Aim       Duration `toml:"aim" json:"aim"`
+		Worth     float64  `toml:"worth" json:"worth"`
+		LateWorth float64  `toml:"late_worth" json:"late_worth"`
+		Progress  Duration `toml:"progress" json:"progress"`
+		Stream    Duration `toml:"stream" json:"stream"`
+		Drain     Duration `toml:"stream_drain" json:"stream_drain"`
+	} `toml:"class" json:"classes"`
+	Tenant []struct {
+		Name      string  `toml:"name" json:"name"`
+		QuotaPerS float64 `toml:"quota_per_s" json:"quota_per_s"`
+		// Certificates are names in clients' certificates that stand for the tenant.
+		Certificates []string `toml:"certificates" json:"certificates"`
+	} `toml:"tenant" json:"tenants"`
+}
+
+// ParseClasses reads classes and tenants that come in a resource of a control plane, as
+// JSON: {"classes": [...], "tenants": [...]} with the keys of the program's own file.
+// Either may be missing.
+func ParseClasses(text []byte) ([]Class, []Tenant, error) {
+	var f classFile
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return nil, nil, err
+	}
+	var p Program
+	var found []error
+	report := func(table string, index int, key, format string, args ...any) {
+		found = append(found, fmt.Errorf("%s %d: %s: %s", table, index+1, key, fmt.Sprintf(format, args...)))
+	}
+	if len(f.Class) > 0 {
+		p.classes(&f, report)
+	}
+	p.tenants(&f, report)
+	return p.Classes, p.Tenants, errors.Join(found...)
+}
+
+var effects = map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
+
+var scopes = map[string]policy.Scope{"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
+
+func (p *Program) classes(f *classFile, report reporter) {
+	if n := len(f.Class); n == 0 || n > MaxClasses {
+		report("class", -1, "", "%d classes; 1 to %d", n, MaxClasses)
+	}
+	seen := map[string]bool{}
+	for i, c := range f.Class {
+		k := Class{Name: c.Name, Class: policy.Class{
+			Deadline: c.Deadline.Duration, Aim: c.Aim.Duration, Worth: c.Worth, LateWorth: c.LateWorth,
+			Window: c.Window.Duration,
+		}, Progress: c.Progress.Duration, Stream: c.Stream.Duration, Drain: c.Drain.Duration}
+		var ok bool
+		if k.Effect, ok = effects[c.Effect]; !ok {
+			report("class", i, "effect", "%q is none of safe, keyed, unsafe", c.Effect)
+		}
+		if k.Scope, ok = scopes[c.Scope]; !ok && c.Scope != "" {
+			report("class", i, "scope", "%q is none of all, zone, cell", c.Scope)
+		}
+		if k.Worth == 0 {
+			k.Worth = 1
+		}
+		switch {
+		case c.Name == "" || len(c.Name) > cluster.MaxName:
+			report("class", i, "name", "1 to %d bytes", cluster.MaxName)
+		case seen[c.Name]:
+			report("class", i, "name", "%s is another one's too", c.Name)
+		}
+		seen[c.Name] = true
+		if k.Deadline < time.Millisecond*20 || k.Deadline > time.Hour {
+			report("class", i, "deadline", "%v is not from 20ms to 1h", k.Deadline)
+		}
+		if k.Aim < 0 || k.Aim > k.Deadline {
+			report("class", i, "aim", "%v is not from 0 to the deadline", k.Aim)
+		}
+		if math.IsNaN(k.Worth) || k.Worth < 0 || k.Worth > 1e6 {
+			report("class", i, "worth", "%v is not from 0 to 1000000", k.Worth)
+		}
+		if math.IsNaN(k.LateWorth) || k.LateWorth < 0 || k.LateWorth > 1 {
+			report("class", i, "late_worth", "%v is not from 0 to 1", k.LateWorth)
+		}
+		if k.Window < 0 || k.Window > 24*time.Hour {
+			report("class", i, "window", "%v is not from 0 to 24h", k.Window)
+		}
+		for key, d := range map[string]time.Duration{"progress": k.Progress, "stream": k.Stream, "stream_drain": k.Drain} {
+			if d != 0 && (d < 10*time.Millisecond || d > 30*24*time.Hour) {
+				report("class", i, key, "%v is neither 0 nor from 10ms to 720h", d)
+			}
+		}
+		if k.Effect == policy.Keyed && (k.Window == 0 || c.Scope == "") {
+			report("class", i, "", "a keyed class needs a window and a scope")
+		}
+		p.Classes = append(p.Classes, k)
+	}
+}
+
+func (p *Program) tenants(f *classFile, report reporter) {
+	if n := len(f.Tenant); n > MaxTenants {
+		report("tenant", -1, "", "%d tenants; %d at most", n, MaxTenants)
+	}
+	seen, certified := map[string]bool{}, map[string]bool{}
+	for i, t := range f.Tenant {
+		switch {
+		case t.Name == "" || len(t.Name) > cluster.MaxName:
+			report("tenant", i, "name", "1 to %d bytes", cluster.MaxName)
+		case seen[t.Name]:
+			report("tenant", i, "name", "%s is another one's too", t.Name)
+		}
+		seen[t.Name] = true
+		if math.IsNaN(t.QuotaPerS) || t.QuotaPerS < 0 || t.QuotaPerS > 1e9 {
+			report("tenant", i, "quota_per_s", "%v is not from 0 to 1e9", t.QuotaPerS)
+		}
+		for _, name := range t.Certificates {
+			if name == "" || certified[name] {
+				report("tenant", i, "certificates", "%q is empty or another one's too", name)
+			}
+			certified[name] = true
+		}
+		p.Tenants = append(p.Tenants, Tenant{t.Name, t.Certificates, policy.Tenant{QuotaPerS: t.QuotaPerS}})
+	}
+}
--- /dev/null
+++ b/internal/config/clusters.go
@@ -0,0 +1,166 @@
+package config
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"path"
+	"regexp"
+	"strings"
+
+	"yokestall/internal/cluster"
+)
+
+// File is a file's name, for messages, and its bytes.
+type File struct {
+	Name string
+	Text []byte
+}
+
+type clusterFile struct {
+	Cluster struct {
+		Name      string `toml:"name"`
+		NoServers string `toml:"no_servers"`
+		ShrinkTo  *int   `toml:"shrink_to"`
+		Protocol  string `toml:"protocol"`
+		TLS       *struct {
+			Name        string   `toml:"server_name"`
+			Roots       string   `toml:"roots"`
+			Certificate string   `toml:"certificate"`
+			Pins        []string `toml:"pins"`
+		} `toml:"tls"`
+	} `toml:"cluster"`
+	Endpoint []struct {
+		ID        string  `toml:"id"`
+		Address   string  `toml:"address"`
+		Zone      string  `toml:"zone"`
+		Cell      int     `toml:"cell"`
+		Weight    float64 `toml:"weight"`
+		Health    string  `toml:"health"`
+		Priority  int     `toml:"priority"`
+		StartedMs int64   `toml:"started_ms"`
+	} `toml:"endpoint"`
+	End struct {
+		Endpoints *int `toml:"endpoints"`
+	} `toml:"end"`
+}
+
+// IsCluster tells whether a text looks like a cluster file rather than the program's own,
+// by the tables in it, so that one with faults is told of those.
+func IsCluster(text []byte) bool { return clusterTable.Match(text) && !programTable.Match(text) }
+
+// ParseCluster reads a cluster file. Its last line has to be the closing entry, which
+// states how many endpoints the file has:
+//
+//	[end]
+//	endpoints = 3
+//
+// with its end of line and nothing behind it, so that no part of a file is ever taken
+// for the whole.
+func ParseCluster(file File) (*cluster.Cluster, error) {
+	var f clusterFile
+	if len(file.Text) > MaxFile {
+		return nil, &cluster.Problem{Source: file.Name, Text: fmt.Sprintf("over %d bytes", MaxFile)}
+	}
+	if !closing.Match(file.Text[max(0, len(file.Text)-64):]) {
+		return nil, &cluster.Problem{Source: file.Name, Line: bytes.Count(file.Text, []byte("\n")) + 1, Text: "is not whole: " +
+			`the last lines have to be "[end]" and "endpoints = N"`}
+	}
+	if err := decode(file.Name, file.Text, &f); err != nil {
+		return nil, err
+	}
+	c := &cluster.Cluster{Name: f.Cluster.Name, Source: file.Name, ShrinkTo: -1}
+	l := newLines(file.Text)
+	at := func(index int, field string) int {
+		if index < 0 {
+			return l.of("cluster", 0, field)
+		}
+		return l.of("endpoint", index, field)
+	}
+	if c.Name == "" {
+		c.Name = strings.TrimSuffix(path.Base(file.Name), ".toml")
+	}
+	switch f.Cluster.NoServers {
+	case "":
+	case "on purpose":
+		c.Empty = true
+	default:
+		return nil, &cluster.Problem{Source: file.Name, Line: at(-1, "no_servers"), Field: "no_servers", Text: `may say "on purpose" only`}
+	}
+	switch f.Cluster.Protocol {
+	case "", "http1":
+	case "http2":
+		c.Transport.HTTP2 = true
+	default:
+		return nil, &cluster.Problem{Source: file.Name, Line: at(-1, "protocol"), Field: "protocol", Text: "is none of http1, http2"}
+	}
+	if t := f.Cluster.TLS; t != nil {
+		for _, pin := range t.Pins {
+			if sum, err := base64.StdEncoding.DecodeString(pin); err != nil || len(sum) != 32 {
+				return nil, &cluster.Problem{Source: file.Name, Line: l.of("cluster.tls", 0, "pins"), Field: "pins", Text: fmt.Sprintf("%q is no SHA-256 in base 64", pin)}
+			}
+		}
+		c.Transport.TLS = &cluster.TLS{Name: t.Name, Roots: t.Roots, Certificate: t.Certificate, Pins: t.Pins}
+	}
+	if n := f.Cluster.ShrinkTo; n != nil {
+		if *n < 0 {
+			return nil, &cluster.Problem{Source: file.Name, Line: at(-1, "shrink_to"), Field: "shrink_to", Text: "is negative"}
+		}
+		c.ShrinkTo = *n
+	}
+	if n := f.End.Endpoints; n == nil || *n != len(f.Endpoint) {
+		text := fmt.Sprintf("%d servers are named", len(f.Endpoint))
+		if n != nil {
+			text = fmt.Sprintf("says %d, ", *n) + text
+		}
+		return nil, &cluster.Problem{Source: file.Name, Line: l.of("end", 0, "endpoints"), Field: "end: endpoints", Text: text}
+	}
+	for i, e := range f.Endpoint {
+		health, err := cluster.ParseHealth(e.Health)
+		if err != nil {
+			return nil, &cluster.Problem{Source: file.Name, Line: at(i, "health"), Field: "health", Text: err.Error()}
+		}
+		c.Endpoints = append(c.Endpoints, cluster.Endpoint{
+			ID: e.ID, Address: e.Address, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, Health: health, Started: e.StartedMs,
+			Priority: e.Priority,
+		})
+	}
+	if err := c.Check(at); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// ParseClusters reads all cluster files of a version. Any fault in any of them is a
+// fault of the version.
+func ParseClusters(files []File) (map[string]*cluster.Cluster, error) {
+	if len(files) > MaxFiles {
+		return nil, fmt.Errorf("%d cluster files; %d at most", len(files), MaxFiles)
+	}
+	var found []error
+	clusters := map[string]*cluster.Cluster{}
+	for _, f := range files {
+		c, err := ParseCluster(f)
+		if err != nil {
+			found = append(found, err)
+			continue
+		}
+		if first := clusters[c.Name]; first != nil {
+			found = append(found, &cluster.Problem{Source: f.Name, Text: fmt.Sprintf("cluster %s is %s's too", c.Name, first.Source)})
+			continue
+		}
+		clusters[c.Name] = c
+	}
+	if len(found) > 0 {
+		return nil, errors.Join(found...)
+	}
+	return clusters, nil
+}
+
+var (
+	clusterTable = regexp.MustCompile(`(?m)^[ \t]*(\[[ \t]*(cluster|end)[ \t]*\]|\[\[[ \t]*endpoint[ \t]*\]\])`)
+	programTable = regexp.MustCompile(`(?m)^[ \t]*\[\[?[ \t]*(listen|upstream|files|limits|fleet|class|tenant|host)[ \t.\]]`)
+)
+
+var closing = regexp.MustCompile(`(?:^|\n)endpoints = ([0-9]{1,6})\n$`)
--- /dev/null
+++ b/internal/config/listeners.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/edge"
+)
+
+type listenerFile struct {
+	Name        string   `toml:"name"`
+	Address     string   `toml:"address"`
+	Connections *int     `toml:"connections"`
+	Silent      *int     `toml:"silent"`
+	HTTP2       *int     `toml:"http2_streams"`
+	MaxBody     int64    `toml:"max_body_mb"`
+	Trust       []string `toml:"trust"`
+	Forwarded   bool     `toml:"forwarded"`
+	Proxy       string   `toml:"proxy_protocol"`
+	Drain       Duration `toml:"drain"`
+	TLS         bool     `toml:"tls"`
+	ClientRoots string   `toml:"client_roots"`
+	ClientNeeds bool     `toml:"client_required"`
+	MaxHead     *int     `toml:"max_head_kb"`
+	Stall       Duration `toml:"client_stall"`
+	Resets      *int     `toml:"http2_resets_per_s"`
+	Controls    *int     `toml:"http2_controls_per_s"`
+	Pieces      *int     `toml:"http2_head_pieces"`
+}
+
+// listeners reads [listen], the one that most have, and [[listener]].
+func (p *Program) listeners(f *programFile, report reporter) {
+	if f.Listen.Address != "" || len(f.Listener) == 0 {
+		p.listener("listen", -1, &f.Listen, f.Keys.Folder, report)
+	}
+	if n := len(f.Listener); n > MaxListeners {
+		report("listener", -1, "", "%d listeners; %d at most", n, MaxListeners)
+		return
+	}
+	seen, addresses := map[string]bool{"": true}, map[string]bool{}
+	for i := range f.Listener {
+		l := &f.Listener[i]
+		if seen[l.Name] || len(l.Name) > cluster.MaxName {
+			report("listener", i, "name", "wants a name of its own, of %d bytes at most", cluster.MaxName)
+		}
+		seen[l.Name] = true
+		p.listener("listener", i, l, f.Keys.Folder, report)
+	}
+	for i, l := range p.Listeners {
+		if _, port, _ := net.SplitHostPort(l.Address); port != "0" && addresses[l.Address] {
+			report("listener", i, "address", "%s is another one's too", l.Address)
+		}
+		addresses[l.Address] = true
+	}
+	p.Listener = p.Listeners[0]
+}
+
+func (p *Program) listener(table string, i int, f *listenerFile, keys string, report reporter) {
+	l := Listener{
+		Name: f.Name, Address: f.Address, Connections: 1024, Silent: 256, HTTP2: 128,
+		MaxBody: f.MaxBody << 20, Trust: strings.Join(f.Trust, " "), Forwarded: f.Forwarded, Proxy: f.Proxy,
+		MaxHead: 16, Stall: 30 * time.Second, Resets: 200, Controls: 500, Pieces: 16,
+		Drain: f.Drain.Duration, TLS: f.TLS, ClientRoots: f.ClientRoots, ClientNeeds: f.ClientNeeds,
+	}
+	for to, given := range map[*int]*int{&l.Connections: f.Connections, &l.Silent: f.Silent, &l.HTTP2: f.HTTP2,
+		&l.MaxHead: f.MaxHead, &l.Resets: f.Resets, &l.Controls: f.Controls, &l.Pieces: f.Pieces} {
+		if given != nil {
+			*to = *given
+		}
+	}
+	if _, port, err := net.SplitHostPort(l.Address); err != nil {
+		report(table, i, "address", "%q is no host:port", l.Address)
+	} else if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		report(table, i, "address", "%q: the port is not from 0 to 65535", l.Address)
+	}
+	if n := l.Connections; n < 4 || n > 1e6 {
+		report(table, i, "connections", "%d is not from 4 to 1000000", n)
+	}
+	if n := l.Silent; n < 1 || n > 1e6 {
+		report(table, i, "silent", "%d is not from 1 to 1000000", n)
+	}
+	if n := l.HTTP2; n < 0 || n > 1000 {
+		report(table, i, "http2_streams", "%d is not from 0 to 1000", n)
+	}
+	if n := f.MaxBody; n < 0 || n > 1<<20 {
+		report(table, i, "max_body_mb", "%d is not from 0 to 1048576", n)
+	}
+	if n := l.MaxHead; n < 1 || n > 1024 {
+		report(table, i, "max_head_kb", "%d is not from 1 to 1024", n)
+	}
+	l.MaxHead <<= 10
+	if f.Stall.Duration != 0 {
+		l.Stall = f.Stall.Duration
+	}
+	if d := l.Stall; d < 100*time.Millisecond || d > time.Hour {
+		report(table, i, "client_stall", "%v is not from 100ms to 1h", d)
+	}
+	for key, n := range map[string]int{"http2_resets_per_s": l.Resets, "http2_controls_per_s": l.Controls, "http2_head_pieces": l.Pieces} {
+		if n < 0 || n > 1e6 {
+			report(table, i, key, "%d is not from 0 to 1000000", n)
+		}
+	}
+	if d := l.Drain; d < 0 || d > 24*time.Hour {
+		report(table, i, "drain", "%v is not from 0 to 24h", d)
+	}
+	if _, err := edge.ParseTrust(f.Trust); err != nil {
+		report(table, i, "trust", "%v", err)
+	}
+	if l.Proxy != "" && l.Proxy != "optional" && l.Proxy != "required" {
+		report(table, i, "proxy_protocol", "%q is none of optional, required", l.Proxy)
+	}
+	if l.Proxy != "" && len(f.Trust) == 0 {
+		report(table, i, "proxy_protocol", "trust has to name who may speak it")
+	}
+	switch {
+	case l.TLS && keys == "":
+		report(table, i, "tls", "wants [keys] folder")
+	case !l.TLS && (l.ClientRoots != "" || l.ClientNeeds):
+		report(table, i, "client_roots", "wants tls = true")
+	case l.ClientNeeds && l.ClientRoots == "":
+		report(table, i, "client_required", "wants client_roots")
+	}
+	p.Listeners = append(p.Listeners, l)
+}
