Have nodes agree: RPC between them, commands, and a program that acts under a lease

internal/fleet/peers runs the pure modules over gRPC, the store and CLOCK_BOOTTIME. app acts on what the fleet agrees on under a lease that is asked at each request's decision and right before each attempt's first byte; a request decided by rules that a version has contradicted sends nothing any more.

--- /dev/null
+++ b/internal/app/agreed.go
@@ -0,0 +1,77 @@
+package app
+
+import (
+	"sync"
+	"time"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/config"
+	"yokestall/internal/files"
+	"yokestall/internal/fleet/agree"
+)
+
+// Agreed has an app take what its fleet agrees on. What the node's own file says of the same things is not acted
+// on; the rest of that file is the node's.
+type Agreed struct {
+	app *App
+
+	mu   sync.Mutex
+	own  *config.Program
+	last *agree.Acting // nil: nothing yet
+}
+
+// NewAgreed makes a source for an app that serves nothing yet.
+func NewAgreed(a *App, own *config.Program) *Agreed { return &Agreed{app: a, own: own} }
+
+// Blank is what an app starts on that has to be told by its fleet what to serve.
+func Blank(own *config.Program) *files.Snapshot {
+	p := *own
+	p.Hosts, p.Table = nil, nil
+	return &files.Snapshot{Program: &p, Version: &cluster.Version{Clusters: map[string]*cluster.Cluster{}}}
+}
+
+// Parse reads a version's files; an error is why this node can't hold it.
+func (s *Agreed) Parse(list []config.File) (*agree.Version, error) {
+	snap, err := files.Unbundle(list)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.own.Agreed(snap.Program); err != nil {
+		return nil, err
+	}
+	return &agree.Version{Program: snap.Program, Clusters: snap.Version.Clusters}, nil
+}
+
+// Take acts on something from now on.
+func (s *Agreed) Take(a agree.Acting) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.take(s.own, &a); err != nil {
+		return err
+	}
+	s.last = &a
+	return nil
+}
+
+// Own takes another version of the node's own file.
+func (s *Agreed) Own(own *config.Program) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last != nil {
+		if err := s.take(own, s.last); err != nil {
+			s.app.Log.Error("the node's own file doesn't go with the agreed version; the last one stays", "err", err)
+			return
+		}
+	}
+	s.own = own
+}
+
+func (s *Agreed) take(own *config.Program, a *agree.Acting) error {
+	p, err := own.Agreed(a.Program)
+	if err != nil {
+		return err
+	}
+	return s.app.TakeRefusing(time.Now(), &files.Snapshot{Program: p, Version: &cluster.Version{Clusters: a.Clusters}}, a.Refused)
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -57,6 +57,11 @@
 	tenants  map[string]int
 	byCert   map[string]int // tenants by names in clients' certificates
 	clusters map[string]*running
+	refused  map[string]string // by class: why its requests are refused for now
+	// take counts what was taken; since gives, by class, the take from which on its requests are decided by the
+	// rules that it has: those decided earlier send nothing any more.
+	take  uint64
+	since map[string]uint64
 }
 
 // Options are what an app may be told besides its files.
@@ -66,6 +71,9 @@
 	// Sent is told each attempt as it goes out: cluster, cluster.Endpoint.Key of the
 	// server, and the time; nil if nobody wants to know. It must not block.
 	Sent func(cluster string, server uint64, at time.Time)
+	// May tells whether what was taken last may be acted on at this moment; nil: always. It is asked at each
+	// request's decision and right before each attempt's first byte.
+	May  func() bool
 	Keys *tlskeys.Store // nil: there is no TLS
 	Path string         // of the program's file, beside which others lie
 }
@@ -133,6 +141,11 @@
 // TakeAt is Take for a version that was delivered at an earlier time, from which the
 // grace counts then.
 func (a *App) TakeAt(delivered time.Time, s *files.Snapshot) error {
+	return a.TakeRefusing(delivered, s, nil)
+}
+
+// TakeRefusing is TakeAt with classes whose requests are refused, each with a reason, until another version is taken.
+func (a *App) TakeRefusing(delivered time.Time, s *files.Snapshot, refused map[string]string) error {
 	told := a.clock.Now() - time.Since(delivered)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -140,8 +153,9 @@
 	settings := a.settings(s.Program)
 	next := &state{
 		program: s.Program, version: s.Version, tenants: map[string]int{}, byCert: map[string]int{},
-		clusters: map[string]*running{},
+		clusters: map[string]*running{}, refused: refused, take: old.take + 1,
 	}
+	next.since = since(old, next)
 	for i, t := range s.Program.Tenants {
 		next.tenants[t.Name] = i
 		for _, name := range t.Certificates {
@@ -167,7 +181,11 @@
 		next.clusters[name] = r
 	}
 	for name, c := range s.Version.Clusters {
-		next.clusters[name].tell(told, c)
+		r := next.clusters[name]
+		r.tell(told, c)
+		if before := old.clusters[name]; before != nil && before != r {
+			r.learn(before, old.program.Classes, s.Program.Classes)
+		}
 	}
 	a.state.Store(next)
 	a.missing.Clear()
@@ -184,6 +202,49 @@
 	return nil
 }
 
+// since gives from which take on requests of each class count, where that is not from the beginning: a class that is refused, or whose
+// effect, scope or window is another, must not go on with what was decided before.
+func since(old, next *state) map[string]uint64 {
+	out := map[string]uint64{}
+	for i := range next.program.Classes {
+		c := &next.program.Classes[i]
+		from := old.since[c.Name]
+		if old.program != nil {
+			at := old.program.Class(c.Name)
+			if at < 0 || next.refused[c.Name] != "" {
+				from = next.take
+			} else if was := &old.program.Classes[at]; was.Effect != c.Effect || was.Scope != c.Scope || was.Window != c.Window {
+				from = next.take
+			}
+		}
+		if from > 0 {
+			out[c.Name] = from
+		}
+	}
+	return out
+}
+
+// may gives what a request that was decided under a state asks before it sends.
+func (a *App) may(s *state, class string) func() bool {
+	return func() bool {
+		now := a.state.Load()
+		return now.since[class] <= s.take && a.May()
+	}
+}
+
+// guarded has a cluster's requests ask before they send.
+type guarded struct {
+	ingress.Cluster
+	may   func() bool
+	again time.Duration
+}
+
+// Do implements ingress.Cluster.
+func (g guarded) Do(ctx context.Context, q *engine.Request) (engine.Answer, error) {
+	q.May, q.Again = g.may, g.again
+	return g.Cluster.Do(ctx, q)
+}
+
 func (a *App) settings(p *config.Program) policy.Settings {
 	s := policy.Defaults()
 	s.Nodes, s.Node, s.Zone = p.Nodes, p.Node, zone(p.Zone)
@@ -253,6 +314,13 @@
 	}
 	class := s.program.Class(m.Route.Class)
 	c := &s.program.Classes[class]
+	again := s.program.Limits.MaxRetryAfter
+	if a.May != nil && !a.May() {
+		return ingress.Destination{}, &ingress.Rejection{Status: http.StatusServiceUnavailable, Text: "the node's lease is over", RetryAfter: again}
+	}
+	if why := s.refused[c.Name]; why != "" {
+		return ingress.Destination{}, &ingress.Rejection{Status: http.StatusServiceUnavailable, Text: why, RetryAfter: again}
+	}
 	deadline := c.Deadline
 	if m.Route.Timeout > 0 {
 		deadline = min(deadline, m.Route.Timeout)
@@ -264,6 +332,9 @@
 		MaxAttempts: m.Route.MaxAttempts, PerTry: m.Route.PerTry, Certified: s.byCert,
 		Pick: m.Route.Processor == "pick" || m.Route.Processor == "" && s.program.ExtProc.Pick,
 	}
+	if a.May != nil {
+		out.Cluster = guarded{to, a.may(s, c.Name), again}
+	}
 	if e := m.Route.Request; e != nil {
 		out.Request = e
 	}
--- /dev/null
+++ b/internal/cli/agree.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"yokestall/internal/app"
+	"yokestall/internal/config"
+	"yokestall/internal/files"
+	"yokestall/internal/fleet/peers"
+	"yokestall/internal/tlskeys"
+)
+
+// fleetConfig gives what a program's file says of its fleet, as a node of it wants it. keys may be nil.
+func fleetConfig(p *config.Program, path string, keys *tlskeys.Store, log *slog.Logger) peers.Config {
+	a := &p.Agree
+	c := peers.Config{Fleet: a.Name, Name: a.Node, Dir: files.Beside(path, a.Folder), Terms: a.Terms, Alone: a.Alone, Log: log}
+	for _, v := range a.Voters {
+		c.Voters = append(c.Voters, peers.Voter{Name: v.Name, Address: v.Address})
+	}
+	if keys != nil && a.Roots != "" {
+		c.ServerTLS = keys.Server(tlskeys.Clients{Roots: a.Roots, Require: true}, "h2")
+		c.ClientTLS = keys.Client(tlskeys.Servers{Roots: a.Roots, Certificate: a.Shows})
+	}
+	return c
+}
+
+// member is the node of a program that takes part in a fleet's agreement.
+type member struct {
+	node   *peers.Node
+	listen net.Listener // nil: it is asked nothing
+}
+
+// join opens the node that has an app act on what the fleet agrees on.
+func join(c peers.Config, p *config.Program) (m *member, err error) {
+	m = &member{}
+	if m.node, err = peers.Open(c); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	if p.Agree.Listen != "" {
+		if m.listen, err = net.Listen("tcp", p.Agree.Listen); err != nil {
+			m.node.Close()
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+	}
+	return m, nil
+}
+
+// run has the node take part until ctx ends, or it can't be asked any more.
+func (m *member) run(ctx context.Context, log *slog.Logger) {
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if m.listen == nil {
+			return
+		}
+		if err := m.node.Serve(ctx, m.listen); err != nil {
+			log.Error("other nodes can't ask this one any more", "err", err)
+		}
+	}()
+	m.node.Run(ctx)
+	<-served
+	if err := m.node.Close(); err != nil {
+		log.Error("the fleet's store", "err", err)
+	}
+}
+
+// agreed starts an app that acts on what the fleet agrees on.
+func agreed(first *files.Snapshot, o app.Options, path string) (*app.App, *app.Agreed, *member, error) {
+	p := first.Program
+	var source *app.Agreed
+	var m *member
+	o.May = func() bool { return m.node.May() }
+	c := fleetConfig(p, path, o.Keys, o.Log)
+	a, err := app.New(app.Blank(p), o)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	source = app.NewAgreed(a, p)
+	c.Parse, c.Take = source.Parse, source.Take
+	if m, err = join(c, p); err != nil {
+		a.Close()
+		return nil, nil, nil, err
+	}
+	return a, source, m, nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,7 +39,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(logs)
-	root.AddCommand(serve(log), check(out), showDemo(out, log), showLab(out), showFleet(out), platformNode())
+	root.AddCommand(serve(log), check(out), showDemo(out, log), showLab(out), showFleet(out, log), platformNode())
 	return root
 }
 
@@ -82,21 +82,31 @@
 			return err
 		}
 	}
-	a, err := app.New(first, o)
+	var a *app.App
+	var own *app.Agreed
+	var fleet *member
+	if first.Program.Agree.On() {
+		a, own, fleet, err = agreed(first, o, path)
+	} else {
+		a, err = app.New(first, o)
+	}
 	if err != nil {
 		return err
 	}
 	defer a.Close()
+	ctx, stop := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	defer watch.Wait()
+	defer stop()
+	if fleet != nil {
+		watch.Go(func() { fleet.run(ctx, log) })
+	}
 	listeners := a.NewListeners()
 	if err := listeners.Take(first.Program.Listeners); err != nil {
 		return err
 	}
 	defer listeners.Close()
 	processed := make(chan error, 1)
-	ctx, stop := context.WithCancel(ctx)
-	var watch sync.WaitGroup
-	defer watch.Wait()
-	defer stop()
 	if set := first.Program.ExtProc; set.Address != "" {
 		l, err := net.Listen("tcp", set.Address)
 		if err != nil {
@@ -115,7 +125,14 @@
 	}
 	watch.Go(func() {
 		watcher.Run(ctx, func(s *files.Snapshot) {
-			source.Files(s)
+			if own != nil {
+				own.Own(s.Program)
+			} else {
+				source.Files(s)
+			}
+			if !reflect.DeepEqual(s.Program.Agree, first.Program.Agree) {
+				log.Warn("a change of [fleet.agree] wants a restart")
+			}
 			if x := &first.Program.XDS; !reflect.DeepEqual(s.Program.XDS, *x) ||
 				len(x.Servers) > 0 && !slices.EqualFunc(s.Program.Classes, first.Program.Classes, func(a, b config.Class) bool { return a.Name == b.Name }) {
 				log.Warn("a change of [xds], or of the classes' names with a control plane, wants a restart")
@@ -160,6 +177,11 @@
 				for _, w := range warn {
 					fmt.Fprintln(out, "warning:", w)
 				}
+				if s, bad := files.Load(path); bad == nil && s.Program.Agree.On() {
+					t := s.Program.Agree.Terms
+					fmt.Fprintf(out, "%s: a version that contradicts is in force, and acted on by no one else than by all, %v after it is taken up at the latest;\n"+
+						"  a node acts on its rules for %v without a word from a majority of the voters, and then alone\n", path, t.Bound().Round(time.Millisecond), t.Hold().Round(time.Millisecond))
+				}
 				if err != nil {
 					bad = true
 					fmt.Fprintln(out, err)
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,21 +1,359 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"yokestall/internal/files"
 	"yokestall/internal/fleet/agree"
+	"yokestall/internal/fleet/peers"
+	"yokestall/internal/tlskeys"
 )
 
-func showFleet(out io.Writer) *cobra.Command {
+func showFleet(out io.Writer, log *slog.Logger) *cobra.Command {
 	c := &cobra.Command{
 		Use:   "fleet",
-		Short: "What the nodes of a fleet have to agree on",
+		Short: "What the nodes of a fleet agree on: make one, publish versions, see who acts on what",
 	}
-	diff := &cobra.Command{
+	f := &fleetCommands{out: out, log: log}
+	c.PersistentFlags().StringVarP(&f.config, "config", "c", "", "the `file` of a node, whose [fleet.agree] names the fleet, its voters and the keys")
+	c.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON")
+	c.AddCommand(fleetDiff(out), f.init(), f.status(), f.publish(), f.rollback(), f.history(), f.voters())
+	return c
+}
+
+type fleetCommands struct {
+	out    io.Writer
+	log    *slog.Logger
+	config string
+	json   bool
+}
+
+// of gives what the node's file says.
+func (f *fleetCommands) of() (peers.Config, error) {
+	if f.config == "" {
+		return peers.Config{}, errors.New("-c FILE is missing: the file of a node of the fleet")
+	}
+	s, err := files.Load(f.config)
+	if err != nil {
+		return peers.Config{}, err
+	}
+	if !s.Program.Agree.On() {
+		return peers.Config{}, fmt.Errorf("%s: has no [fleet.agree]", f.config)
+	}
+	var keys *tlskeys.Store
+	if k := s.Program.Keys; k.Folder != "" {
+		if keys, err = tlskeys.Open(files.Beside(f.config, k.Folder), k.First, f.log); err != nil {
+			return peers.Config{}, err
+		}
+	}
+	return fleetConfig(s.Program, f.config, keys, f.log), nil
+}
+
+// with runs something with a client of the fleet.
+func (f *fleetCommands) with(do func(c *peers.Client) error) error {
+	of, err := f.of()
+	if err != nil {
+		return err
+	}
+	c, err := peers.NewClient(of.Fleet, of.Voters, of.ClientTLS)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	return do(c)
+}
+
+// print prints JSON, or as text says.
+func (f *fleetCommands) print(v any, text func()) error {
+	if !f.json {
+		text()
+		return nil
+	}
+	e := json.NewEncoder(f.out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func (f *fleetCommands) init() *cobra.Command {
+	return &cobra.Command{
+		Use:   "init",
+		Short: "Make this node's store that of a voter of a new fleet, before its first start",
+		Long: "Once on each voter, before it is started. A voter whose store was lost must not be made anew by it: it would have forgotten\n" +
+			"what it promised. It follows without a vote then.",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			of, err := f.of()
+			if err != nil {
+				return err
+			}
+			for _, v := range of.Voters {
+				if v.Name == of.Name {
+					if err := peers.Init(of); err != nil {
+						return err
+					}
+					fmt.Fprintf(f.out, "%s is a voter of the fleet %s\n", of.Name, of.Fleet)
+					return nil
+				}
+			}
+			return fmt.Errorf("%s: voters: %s is not among them, and needs no init", f.config, of.Name)
+		},
+	}
+}
+
+func (f *fleetCommands) status() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Say how each voter sees the fleet: leader, version in force, version that waits, and for whom",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.with(func(c *peers.Client) error {
+				list := c.Status(cmd.Context())
+				up := 0
+				for _, a := range list {
+					if a.Status != nil && a.Status.Voter {
+						up++
+					}
+				}
+				err := f.print(list, func() {
+					for _, a := range list {
+						f.line(a)
+					}
+				})
+				if err == nil && up <= len(list)/2 {
+					fmt.Fprintf(f.out, "%d of %d voters answer: no version can come into force, and leases run out\n", up, len(list))
+					return ErrReported
+				}
+				return err
+			})
+		},
+	}
+}
+
+// line prints a voter's status.
+func (f *fleetCommands) line(a peers.Answer) {
+	s := a.Status
+	switch {
+	case s == nil:
+		fmt.Fprintf(f.out, "%-12s does not answer: %s\n", a.Voter, a.Error)
+		return
+	case !s.Voter && s.Store != "":
+		fmt.Fprintf(f.out, "%-12s votes no more: %s\n", a.Voter, s.Store)
+		return
+	case !s.Voter:
+		fmt.Fprintf(f.out, "%-12s follows: its store was not made by init\n", a.Voter)
+		return
+	}
+	leader := s.Leader
+	if leader == "" {
+		leader = "none"
+	}
+	fmt.Fprintf(f.out, "%-12s version %d in force (epoch %d), leader %s in term %d, acts on %v", a.Voter, s.Facts.Number, s.Facts.Epoch, leader, s.Term, s.Acts)
+	if s.Alone {
+		fmt.Fprint(f.out, " alone")
+	} else {
+		fmt.Fprintf(f.out, " for %d ms", s.LeftMs)
+	}
+	if s.Facts.Pending != 0 {
+		fmt.Fprintf(f.out, "; version %d waits", s.Facts.Pending)
+		if len(s.Waits) > 0 {
+			fmt.Fprintf(f.out, " for %s", strings.Join(s.Waits, ", "))
+		}
+	}
+	fmt.Fprintf(f.out, "; leases: %s\n", strings.Join(s.Nodes, ", "))
+}
+
+// result is what a publish prints.
+type result struct {
+	ID string `json:"id"`
+	*peers.Published
+	*peers.Outcome
+}
+
+func (f *fleetCommands) publish() *cobra.Command {
+	base, id, wait := "", "", 30*time.Second
+	c := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Have the fleet take up a configuration: classes, limits, tenants, hosts, [fleet] figures and cluster files",
+		Long: "FILE is a program's file with its cluster files; its listeners, keys and paths are not taken. --base names the version that it was\n" +
+			"made from: if that is not the one in force, nothing is published and the difference is shown. The same --id again is the same publish.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			list, err := files.Bundle(args[0])
+			if err != nil {
+				return err
+			}
+			return f.with(func(c *peers.Client) error {
+				return f.submit(cmd.Context(), c, base, id, wait, func(id string, at uint64) (*peers.Published, error) {
+					return c.Publish(cmd.Context(), id, at, list)
+				})
+			})
+		},
+	}
+	submitFlags(c, &base, &id, &wait)
+	return c
+}
+
+func submitFlags(c *cobra.Command, base, id *string, wait *time.Duration) {
+	c.Flags().StringVar(base, "base", "", "`number` of the version that it was made from, or present for whatever is in force")
+	c.Flags().StringVar(id, "id", "", "of an earlier try, to find out what became of it")
+	c.Flags().DurationVar(wait, "wait", *wait, "until it is in force; 0: don't")
+	c.MarkFlagRequired("base")
+}
+
+func (f *fleetCommands) rollback() *cobra.Command {
+	base, id, wait := "", "", 30*time.Second
+	c := &cobra.Command{
+		Use:   "rollback NUMBER",
+		Short: "Have the fleet take up an earlier version again, as a new one",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			number, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return fmt.Errorf("%q is no version's number", args[0])
+			}
+			return f.with(func(c *peers.Client) error {
+				return f.submit(cmd.Context(), c, base, id, wait, func(id string, at uint64) (*peers.Published, error) {
+					return c.Rollback(cmd.Context(), id, at, number)
+				})
+			})
+		},
+	}
+	submitFlags(c, &base, &id, &wait)
+	return c
+}
+
+// submit has a version taken up and waits for it.
+func (f *fleetCommands) submit(ctx context.Context, c *peers.Client, base, id string, wait time.Duration, do func(id string, base uint64) (*peers.Published, error)) error {
+	at, err := strconv.ParseUint(base, 10, 64)
+	if base == "present" {
+		var s *peers.Status
+		if s, err = c.Newest(ctx); err == nil {
+			at = s.Facts.Number
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("--base: %w", err)
+	}
+	if id == "" {
+		id = peers.NewID()
+	}
+	p, err := do(id, at)
+	if err != nil {
+		return err
+	}
+	r := result{ID: id, Published: p}
+	if p.Number > 0 && wait > 0 {
+		ctx, stop := context.WithTimeout(ctx, wait)
+		defer stop()
+		o, err := c.Wait(ctx, p.Number, func(o peers.Outcome) {
+			if !f.json && len(o.Waits) > 0 {
+				fmt.Fprintf(f.out, "version %d waits for %s\n", p.Number, strings.Join(o.Waits, ", "))
+			}
+		})
+		if r.Outcome = &o; err != nil && !f.json {
+			fmt.Fprintf(f.out, "version %d is not in force after %v; it goes on waiting\n", p.Number, wait)
+		}
+	}
+	if err := f.print(r, func() { f.say(r) }); err != nil {
+		return err
+	}
+	if p.Number == 0 || p.Error != "" || r.Outcome != nil && !r.Outcome.InForce {
+		return ErrReported
+	}
+	return nil
+}
+
+func (f *fleetCommands) say(r result) {
+	switch {
+	case r.Number == 0:
+		fmt.Fprintf(f.out, "nothing is published: %s\n", r.Error)
+		for _, d := range r.Differs {
+			fmt.Fprintf(f.out, "  from the version in force, %d: %s\n", r.Present, d)
+		}
+		if r.Again {
+			fmt.Fprintf(f.out, "try again with --id %s\n", r.ID)
+		}
+	case r.Outcome != nil && r.Refused != "":
+		fmt.Fprintf(f.out, "version %d is refused, and nobody acts on it: %s\n", r.Number, r.Refused)
+	case r.Outcome != nil && r.InForce:
+		fmt.Fprintf(f.out, "version %d is in force\n", r.Number)
+	default:
+		fmt.Fprintf(f.out, "version %d is taken up\n", r.Number)
+	}
+}
+
+func (f *fleetCommands) history() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the latest versions",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.with(func(c *peers.Client) error {
+				s, err := c.Newest(cmd.Context())
+				if err != nil {
+					return err
+				}
+				return f.print(s.History, func() {
+					for _, m := range s.History {
+						note := ""
+						switch {
+						case m.Refused != "":
+							note = ", refused: " + m.Refused
+						case m.Number == s.Facts.Number:
+							note = ", in force"
+						case m.Number == s.Facts.Pending:
+							note = ", waits"
+						}
+						if m.Contradicts {
+							note = ", contradicted what was in force" + note
+						}
+						fmt.Fprintf(f.out, "%d from %d, by %s, id %s%s\n", m.Number, m.Base, m.By, m.ID, note)
+					}
+				})
+			})
+		},
+	}
+}
+
+func (f *fleetCommands) voters() *cobra.Command {
+	return &cobra.Command{
+		Use:   "voters",
+		Short: "List the voters and whether each votes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.with(func(c *peers.Client) error {
+				list := c.Status(cmd.Context())
+				return f.print(list, func() {
+					for _, a := range list {
+						switch {
+						case a.Status == nil:
+							fmt.Fprintf(f.out, "%s does not answer\n", a.Voter)
+						case !a.Status.Voter:
+							fmt.Fprintf(f.out, "%s doesn't vote\n", a.Voter)
+						case a.Status.Leader == a.Voter:
+							fmt.Fprintf(f.out, "%s leads\n", a.Voter)
+						default:
+							fmt.Fprintf(f.out, "%s votes\n", a.Voter)
+						}
+					}
+				})
+			})
+		},
+	}
+}
+
+func fleetDiff(out io.Writer) *cobra.Command {
+	return &cobra.Command{
 		Use:   "diff OLD NEW",
 		Short: "Say how two configurations differ, and what of it two nodes may not act on at one time",
 		Long: "Reads both with their cluster files. Exits with 1 where they contradict: give the new one to all nodes at once, or to none\n" +
@@ -44,6 +382,4 @@
 			return nil
 		},
 	}
-	c.AddCommand(diff)
-	return c
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,6 +123,7 @@
 	XDS       XDS
 	ExtProc   ExtProc
 	Repeats   Repeats
+	Agree     Agree
 }
 
 // Repeats is the store of keys of keyed requests over HTTP; off without entries.
@@ -253,13 +254,14 @@
 		MaxRetryAfter Duration `toml:"max_retry_after"`
 	} `toml:"limits"`
 	Fleet struct {
-		Nodes        int      `toml:"nodes"`
-		Node         int      `toml:"node"`
-		Zone         string   `toml:"zone"`
-		ColdFrom     float64  `toml:"cold_from"`
-		ColdFor      Duration `toml:"cold_for"`
-		FallMultiple float64  `toml:"fall_multiple"`
-		FallFor      Duration `toml:"fall_for"`
+		Nodes        int       `toml:"nodes"`
+		Node         int       `toml:"node"`
+		Zone         string    `toml:"zone"`
+		ColdFrom     float64   `toml:"cold_from"`
+		ColdFor      Duration  `toml:"cold_for"`
+		FallMultiple float64   `toml:"fall_multiple"`
+		FallFor      Duration  `toml:"fall_for"`
+		Agree        agreeFile `toml:"agree"`
 	} `toml:"fleet"`
 	classFile
 	Host []struct {
@@ -317,6 +319,7 @@
 	f.Files.MaxShare, f.Files.Poll.Duration = 0.5, time.Second
 	f.Limits.Attempts = 3
 	f.Fleet.Nodes = 1
+	f.Fleet.Agree.defaults()
 	f.ExtProc.Way, f.ExtProc.Connections, f.ExtProc.Streams, f.ExtProc.PerConn = "carry", 256, 4096, 1000
 	f.ExtProc.Head, f.ExtProc.Message, f.ExtProc.Answer, f.ExtProc.Buffer = 64, 1024, 1024, 64
 	f.ExtProc.First.Duration, f.ExtProc.Report.Duration = 5*time.Second, time.Second
@@ -383,6 +386,7 @@
 	}
 	within("fleet", "cold_for", p.Rules.ColdFor, 0, time.Hour)
 	within("fleet", "fall_for", p.Rules.FallFor, 0, time.Hour)
+	p.agree(&f.Fleet.Agree, report)
 	p.extproc(&f, report)
 	p.routes(&f, report)
 	if err := faults(); err != nil {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -16,6 +16,7 @@
 	server *member
 	clock  Clock
 	sent   func(server policy.ServerID, at time.Duration) // Options.Sent
+	may    func() bool                                    // Request.May
 
 	mu      sync.Mutex
 	stopped bool
@@ -89,13 +90,13 @@
 }
 
 // Begin asks for leave to send. It is true once at most: not after the request's final
-// answer, nor DrainGrace after word that the server drains.
+// answer, nor DrainGrace after word that the server drains, nor where Request.May says no.
 func (c *Call) Begin() bool {
 	if c.server == nil { // of NewCall
 		return c.gate.CompareAndSwap(unsent, begun)
 	}
 	now := c.clock.Now()
-	if c.server.barred(now) {
+	if c.server.barred(now) || c.may != nil && !c.may() {
 		c.Revoke()
 	}
 	if !c.gate.CompareAndSwap(unsent, begun) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -482,6 +482,13 @@
 	if s, ok := r.Payload.(Streamed); !r.ended && (res.Final || ok && s.Spent()) {
 		c.settle(r.id, Answer{Verdict: Failed}) // there is nothing left to send again
 	}
+	if !r.ended && r.out == 0 && res.Status == policy.Moot && r.May != nil && !r.May() {
+		verdict := Refused
+		if r.ran {
+			verdict = Failed
+		}
+		c.settle(r.id, Answer{Verdict: verdict, RetryAfter: r.Again})
+	}
 	c.balancer.Outcome(now, policy.Outcome{
 		ID: r.id, Attempt: index, Server: a.to, Status: res.Status, Ended: r.ended, Latency: now - a.decided,
 	})
@@ -526,7 +533,7 @@
 	c.mu.RLock()
 	a.server = c.members[server]
 	c.mu.RUnlock()
-	a.to, a.clock, a.sent = server, c.clock, c.sent
+	a.to, a.clock, a.sent, a.may = server, c.clock, c.sent, r.May
 	index := len(r.attempts)
 	if index == 0 {
 		r.attempts = r.first[:0]
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -43,6 +43,10 @@
 	// keeps its connection for Listen at most, and is called on a goroutine of its own.
 	Late   func(answer any)
 	Listen time.Duration
+	// May, if set, is asked right before an attempt's first byte leaves, on the attempt's goroutine: with false
+	// nothing is sent, and unless another attempt is out the request is refused at once, to come back after Again.
+	May   func() bool
+	Again time.Duration
 
 	id       policy.RequestID
 	answer   chan Answer // takes one
--- a/internal/fleet/agree/alone_test.go
+++ b/internal/fleet/agree/alone_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"yokestall/internal/fleet/terms"
 	"yokestall/policy"
 )
 
@@ -15,7 +16,7 @@
 	now := time.UnixMilli(3000)
 	for range 300 {
 		last, next := drawn(t, rng), drawn(t, rng)
-		a := Alone(last, AloneRules{AloneCautious, AloneCautious, AloneCautious, 0}, now)
+		a := Alone(last, terms.Alone{Effects: terms.Cautious, Routes: terms.Cautious, Lists: terms.Cautious}, now)
 		if a.Program.Limits.MaxAttempts != 1 || a.Program.Limits.SecondCopies {
 			t.Fatalf("attempts: %+v", a.Program.Limits)
 		}
@@ -37,15 +38,15 @@
 		}
 	}
 	last := version(t, program, servers)
-	if a := Alone(last, AloneRules{AloneServeLast, AloneServeLast, AloneServeLast, 0}, now); AsStrict(a, last) != nil || AsStrict(Acting{Version: last}, a.Version) != nil || len(a.Refused) > 0 {
+	if a := Alone(last, terms.Alone{Effects: terms.ServeLast, Routes: terms.ServeLast, Lists: terms.ServeLast}, now); AsStrict(a, last) != nil || AsStrict(Acting{Version: last}, a.Version) != nil || len(a.Refused) > 0 {
 		t.Errorf("not as the last: %v", a.Refused)
 	}
-	for _, r := range []AloneRules{{AloneRefuse, AloneServeLast, AloneServeLast, 0}, {AloneServeLast, AloneRefuse, AloneServeLast, 0}, {AloneServeLast, AloneServeLast, AloneRefuse, 0}} {
+	for _, r := range []terms.Alone{{Effects: terms.Refuse, Routes: terms.ServeLast, Lists: terms.ServeLast}, {Effects: terms.ServeLast, Routes: terms.Refuse, Lists: terms.ServeLast}, {Effects: terms.ServeLast, Routes: terms.ServeLast, Lists: terms.Refuse}} {
 		if a := Alone(last, r, now); len(a.Refused) != 2 {
 			t.Errorf("%+v: %v", r, a.Refused)
 		}
 	}
-	if _, err := ParseCaution("brave"); err == nil {
+	if _, err := terms.ParseCaution("brave"); err == nil {
 		t.Error("brave is a caution")
 	}
 }
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -3,35 +3,14 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"time"
-)
-
-// Terms are the figures of leases, the same at every node of a fleet.
-type Terms struct {
-	Lease time.Duration // that a voter grants, in true time
-	Drift float64       // most that a clock's rate differs from true time: 0.1 is a tenth
-	Take  time.Duration // that a node needs to take a version once it has heard of it
-}
-
-// hold is how long the one who was granted a lease counts on it, by its own clock: no longer than the lease on the
-// fastest... slowest clock allowed, since a slow clock shows less time than has passed.
-func (t Terms) hold() time.Duration { return time.Duration(float64(t.Lease) * (1 - t.Drift)) }
 
-// keep is how long the one who granted it counts on it: no less than the lease, on the fastest clock allowed.
-func (t Terms) keep() time.Duration {
-	return time.Duration(math.Ceil(float64(t.Lease) * (1 + t.Drift)))
-}
-
-// Bound is the longest time from a version's place in the log until nobody acts on what it contradicts: every node has
-// confirmed, or its last lease has ended on the clock of the slowest voter that counts it.
-func (t Terms) Bound() time.Duration {
-	return time.Duration(float64(t.keep())/(1-t.Drift)) + t.Take
-}
+	"yokestall/internal/fleet/terms"
+)
 
-// Renew is how often a lease is asked for again: three tries fit before it ends.
-func (t Terms) Renew() time.Duration { return t.hold() / 4 }
+// Terms are the figures of leases.
+type Terms = terms.Terms
 
 // Facts are what a voter has learnt from the log, at an index. They were true of it once, whoever tells them.
 type Facts struct {
@@ -93,7 +72,7 @@
 
 // NewDesk starts a desk.
 func NewDesk(now time.Duration, t Terms) *Desk {
-	return &Desk{terms: t, quiet: now + t.keep(), holders: map[holder]*held{}}
+	return &Desk{terms: t, quiet: now + t.Keep(), holders: map[holder]*held{}}
 }
 
 // Ask grants a lease up to what the voter has heard of.
@@ -113,10 +92,21 @@
 	if u := s.Upto(); u > h.upto {
 		h.upto, h.before = u, max(h.before, h.end)
 	}
-	h.end = now + d.terms.keep()
+	h.end = now + d.terms.Keep()
 	return Grant{Voter: voter, Seq: a.Seq, Upto: h.upto, Facts: s.Facts()}, nil
 }
 
+// Nodes names the processes that hold a lease, once each, in order.
+func (d *Desk) Nodes(now time.Duration) (list []string) {
+	for key, h := range d.holders {
+		if h.end > now {
+			list = append(list, key.node)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // sweep forgets leases that are over.
 func (d *Desk) sweep(now time.Duration) {
 	for key, h := range d.holders {
@@ -207,7 +197,7 @@
 	if !known || len(l.grants) >= 2*l.voters && l.grants[g.Voter] == nil {
 		return
 	}
-	end := at + l.terms.hold()
+	end := at + l.terms.Hold()
 	list := l.grants[g.Voter]
 	i := slices.IndexFunc(list, func(x lent) bool { return x.upto == g.Upto })
 	if i >= 0 {
--- a/internal/fleet/agree/log.go
+++ b/internal/fleet/agree/log.go
@@ -11,6 +11,7 @@
 const (
 	MaxHistory = 256     // versions that can be gone back to
 	MaxFiles   = 1100    // files of a version
+	maxParts   = 16384   // of all versions in the history together, so that a snapshot fits a message
 	MaxName    = 255     // bytes of a file's or a node's name
 	MaxEntry   = 1 << 20 // bytes of an entry; content goes by hash beside it
 	// epochMost is how many versions may share an epoch. Each new one is held against all of them, since "does not
@@ -156,10 +157,17 @@
 	if s.Number == 0 {
 		m.Contradicts = false // there is nothing that it could contradict
 	}
-	if len(s.History) >= MaxHistory {
-		s.forget()
-	}
 	s.History = append(s.History, m)
+	parts := 0
+	for i := range s.History {
+		parts += len(s.History[i].Parts)
+	}
+	for len(s.History) > MaxHistory || parts > maxParts {
+		gone := s.forget(m.Number)
+		if parts -= gone; gone == 0 {
+			break
+		}
+	}
 	if m.Contradicts {
 		s.Pending, s.Cleared = m.Number, nil
 		return
@@ -167,14 +175,16 @@
 	s.Number, s.Alive = m.Number, append(s.Alive, m.Number)
 }
 
-// forget drops the oldest version that nobody may act on.
-func (s *State) forget() {
+// forget drops the oldest version that nobody may act on, nor is new, and gives how many parts it had.
+func (s *State) forget(fresh uint64) int {
 	for i := range s.History {
-		if !slices.Contains(s.Alive, s.History[i].Number) {
+		if n := s.History[i].Number; n != fresh && n != s.Number && !slices.Contains(s.Alive, n) {
+			parts := len(s.History[i].Parts)
 			s.History = slices.Delete(s.History, i, i+1)
-			return
+			return parts
 		}
 	}
+	return 0
 }
 
 func (s *State) clear(c *Clear, voters int) {
--- a/internal/fleet/agree/voter.go
+++ b/internal/fleet/agree/voter.go
@@ -154,6 +154,9 @@
 	return v.desk.Ask(now, v.ID, a, v.state)
 }
 
+// Nodes names who holds a lease of this voter's.
+func (v *Voter) Nodes(now time.Duration) []string { return v.desk.Nodes(now) }
+
 // Tick is called every Tick.
 func (v *Voter) Tick(now time.Duration) {
 	v.node.Tick()
--- /dev/null
+++ b/internal/fleet/peers/client.go
@@ -0,0 +1,214 @@
+package peers
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"yokestall/internal/config"
+	"yokestall/internal/fleet/agree"
+)
+
+// Client speaks to a fleet's voters on behalf of an operator.
+type Client struct {
+	voters []Voter
+	conns  []*Conn
+}
+
+// NewClient makes a client; connections are made when they are needed.
+func NewClient(fleet string, voters []Voter, with *tls.Config) (*Client, error) {
+	c := &Client{voters: voters}
+	for _, v := range voters {
+		conn, err := Dial(v, with, fleet)
+		if err != nil {
+			c.Close()
+			return nil, err
+		}
+		c.conns = append(c.conns, conn)
+	}
+	return c, nil
+}
+
+// Close closes its connections.
+func (c *Client) Close() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+}
+
+// askFor is how long a voter has to say how things stand.
+const askFor = 2 * time.Second
+
+// Answer is a voter's status, or why there is none.
+type Answer struct {
+	Voter  string  `json:"voter"`
+	Status *Status `json:"status,omitempty"`
+	Error  string  `json:"error,omitempty"`
+}
+
+// Status asks all voters at once.
+func (c *Client) Status(ctx context.Context) []Answer {
+	ctx, stop := context.WithTimeout(ctx, askFor)
+	defer stop()
+	out := make([]Answer, len(c.conns))
+	each(c.conns, func(i int, conn *Conn) {
+		out[i].Voter = c.voters[i].Name
+		s, err := conn.Status(ctx)
+		if out[i].Status = s; err != nil {
+			out[i].Error = err.Error()
+		}
+	})
+	return out
+}
+
+func each(conns []*Conn, do func(i int, c *Conn)) {
+	done := make(chan struct{})
+	for i, c := range conns {
+		go func() {
+			do(i, c)
+			done <- struct{}{}
+		}()
+	}
+	for range conns {
+		<-done
+	}
+}
+
+// ErrMajority is that too few voters answer.
+var ErrMajority = errors.New("no majority of the voters answers")
+
+// Newest gives the status of the voter that has read furthest; an error where less than a majority answers.
+func (c *Client) Newest(ctx context.Context) (*Status, error) {
+	var newest *Status
+	got := 0
+	var last string
+	for _, a := range c.Status(ctx) {
+		if a.Status == nil || !a.Status.Voter {
+			last = fmt.Sprint(a.Voter, ": ", a.Error)
+			continue
+		}
+		if got++; newest == nil || a.Status.Facts.Index > newest.Facts.Index {
+			newest = a.Status
+		}
+	}
+	if got <= len(c.conns)/2 {
+		return nil, fmt.Errorf("%w: %d of %d (%s)", ErrMajority, got, len(c.conns), last)
+	}
+	return newest, nil
+}
+
+// NewID gives an id for a publish: the same one again is the same publish.
+func NewID() string {
+	b := make([]byte, 16)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// Publish has a version taken up that was made from another. Its content is at a majority of the voters before it is
+// proposed, so that none that is in force can be lost with a minority. An answer without a number says why; with Again the same
+// publish may be sent again.
+func (c *Client) Publish(ctx context.Context, id string, base uint64, list []config.File) (*Published, error) {
+	p := Publish{ID: id, Base: base}
+	content := map[string][]byte{}
+	for _, f := range list {
+		h := hash(f.Text)
+		content[h] = f.Text
+		p.Parts = append(p.Parts, agree.Part{Name: f.Name, Hash: h, Size: len(f.Text)})
+	}
+	return c.publish(ctx, p, content)
+}
+
+// Rollback has a version of the history taken up again, as a new one.
+func (c *Client) Rollback(ctx context.Context, id string, base, number uint64) (*Published, error) {
+	last := fmt.Errorf("version %d: %w", number, ErrMajority)
+	for _, conn := range c.conns {
+		one, stop := context.WithTimeout(ctx, askFor)
+		m, err := conn.Describe(one, number)
+		stop()
+		if err != nil {
+			last = err
+			continue
+		}
+		return c.publish(ctx, Publish{ID: id, Base: base, Parts: m.Parts}, nil)
+	}
+	return nil, last
+}
+
+func (c *Client) publish(ctx context.Context, p Publish, content map[string][]byte) (*Published, error) {
+	errs := make([]error, len(c.conns))
+	if content != nil {
+		each(c.conns, func(i int, conn *Conn) {
+			one, stop := context.WithTimeout(ctx, publishFor)
+			defer stop()
+			errs[i] = conn.Put(one, content)
+		})
+	}
+	good := 0
+	for _, err := range errs {
+		if err == nil {
+			good++
+		}
+	}
+	if good <= len(c.conns)/2 {
+		return nil, fmt.Errorf("%w: %w", ErrMajority, errors.Join(errs...))
+	}
+	var last error
+	for i, conn := range c.conns {
+		if errs[i] != nil {
+			continue
+		}
+		one, stop := context.WithTimeout(ctx, publishFor+askFor)
+		out, err := conn.Publish(one, p)
+		stop()
+		if err == nil && (out.Number > 0 || !out.Again) {
+			return out, nil
+		}
+		if err == nil {
+			err = errors.New(out.Error)
+		}
+		last = err
+	}
+	return &Published{Error: last.Error(), Again: true}, nil
+}
+
+// Outcome is how a version that was taken up came out.
+type Outcome struct {
+	InForce bool     `json:"in_force"`
+	Refused string   `json:"refused,omitempty"`
+	Waits   []string `json:"waits,omitempty"` // nodes that have neither confirmed nor lost their lease
+}
+
+// Wait waits until a version is in force or refused, and tells meanwhile who is waited for. When ctx ends first, it
+// gives what it knows, with ctx's error.
+func (c *Client) Wait(ctx context.Context, number uint64, tell func(Outcome)) (Outcome, error) {
+	var last Outcome
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for {
+		if s, err := c.Newest(ctx); err == nil {
+			now := Outcome{InForce: s.Facts.Number >= number && s.Facts.Pending != number, Waits: s.Waits}
+			for i := range s.History {
+				if m := &s.History[i]; m.Number == number && m.Refused != "" {
+					now.InForce, now.Refused = false, m.Refused
+				}
+			}
+			if now.InForce || now.Refused != "" {
+				now.Waits = nil
+				return now, nil
+			}
+			if fmt.Sprint(now) != fmt.Sprint(last) {
+				tell(now)
+			}
+			last = now
+		}
+		select {
+		case <-ctx.Done():
+			return last, ctx.Err()
+		case <-t.C:
+		}
+	}
+}
