Show agreed versions by five processes that are stopped, killed and cut off

The rig has links between processes; a run publishes versions each of which contradicts the one before, under load and drawn faults, and a pure judge reads from what servers got how long two processes acted on contradicting ones.

--- /dev/null
+++ b/cmd/yokestall/versions_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"yokestall/internal/fleet/terms"
+	"yokestall/internal/lab"
+	"yokestall/internal/standin/fleet"
+	"yokestall/internal/testkit"
+)
+
+// versionsRun is a run that fits a test: a lease that is over in the middle of most faults.
+func versionsRun(seed uint64) lab.Versions {
+	return lab.Versions{
+		Seed: seed, Nodes: 5, Voters: 3, Boxes: 4, Count: 21, Length: 6 * time.Second, Faults: 6, Rate: 150,
+		Terms: terms.Terms{Lease: 600 * time.Millisecond, Drift: 0.1, Take: 250 * time.Millisecond},
+	}
+}
+
+// Five processes that agree on versions, each of which contradicts the one before, while they are stopped, killed and cut off from each
+// other: no two act on versions that contradict for longer than the bound, and no server that a version has out gets more by it.
+func TestVersionsUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real time")
+	}
+	for seed := range uint64(3) {
+		t.Run("", func(t *testing.T) {
+			itself, env := testkit.Itself()
+			dir := t.TempDir()
+			o, err := lab.PlayVersions(t.Context(), versionsRun(seed+1), dir, itself, env)
+			if err != nil {
+				showLogs(t, dir)
+				t.Fatal(err)
+			}
+			if o.Longest > o.Bound {
+				t.Errorf("two acted on versions that contradict for %v, and the bound is %v: %+v after the first of %d", o.Longest, o.Bound, o.Worst, o.Over)
+			}
+			found := slices.DeleteFunc(o.Found, func(f fleet.Finding) bool { return f.Timing })
+			if len(found) > 0 || o.Served < o.Asked/4 {
+				t.Errorf("%d of %d served; rules broken: %v", o.Served, o.Asked, found)
+			}
+			if t.Failed() {
+				t.Log(o.Script)
+				showLogs(t, dir)
+			}
+			t.Logf("%d versions, in force after %v at half of them and %v at most; contradiction %v (%d attempts) of %v; %d asked, %d served, %d refused, %d failed; %d late at servers that were out",
+				o.Published, o.Times[len(o.Times)/2], o.Times[len(o.Times)-1], o.Longest, o.Count, o.Bound, o.Asked, o.Served, o.Refused, o.Failed, len(o.Found))
+		})
+	}
+}
+
+func showLogs(t *testing.T, dir string) {
+	logs, _ := filepath.Glob(filepath.Join(dir, "*", "log"))
+	for _, l := range logs {
+		text, _ := os.ReadFile(l)
+		t.Logf("%s: %s", l, text[max(0, len(text)-3000):])
+	}
+}
--- a/internal/standin/fleet/record.go
+++ b/internal/standin/fleet/record.go
@@ -32,6 +32,7 @@
 	By     time.Duration
 	Status int
 	Over   bool
+	Stamp  int // of the rules that an attempt was decided by; 0: it has none
 }
 
 // Record collects events. Its zero value is ready; its methods are safe for concurrent use.
--- a/internal/standin/fleet/rig.go
+++ b/internal/standin/fleet/rig.go
@@ -14,6 +14,7 @@
 type Rig struct {
 	Processes []*Process
 	Links     [][]*Relay // by process and server
+	Peers     [][]*Relay // by process and the process that it asks; nil where there is none
 	Record    Record
 	// News, if set, is called as a process begins or ends to be deaf, for who tells it of the servers.
 	News func(process int, deaf bool) error
@@ -43,6 +44,24 @@
 	return r, nil
 }
 
+// Connect puts a link between each process and each of those that are asked by others, at these addresses; "": it is asked nothing.
+func (r *Rig) Connect(asked []string) error {
+	for i := range r.Processes {
+		links := make([]*Relay, len(asked))
+		r.Peers = append(r.Peers, links)
+		for j, addr := range asked {
+			if i == j || addr == "" {
+				continue
+			}
+			var err error
+			if links[j], err = NewRelay(addr); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // Start starts all processes at once.
 func (r *Rig) Start(ctx context.Context) error {
 	errs := make([]error, len(r.Processes))
@@ -59,9 +78,11 @@
 	for _, p := range r.Processes {
 		p.Kill()
 	}
-	for _, links := range r.Links {
+	for _, links := range slices.Concat(r.Links, r.Peers) {
 		for _, l := range links {
-			l.Close()
+			if l != nil {
+				l.Close()
+			}
 		}
 	}
 	return nil
@@ -98,6 +119,7 @@
 			r.Record.Add(Event{What: Faulted, Who: n, ID: string(s.fault.Kind), Over: s.over})
 			if slices.Contains(ofLinks, s.fault.Kind) {
 				r.setLinks(n, script, on)
+				r.setPeers(script, on)
 				continue
 			}
 			p, again := r.Processes[n], s.over && !dead(n, script, on)
@@ -149,14 +171,46 @@
 		var link Link
 		for i := range script {
 			f := &script[i]
-			if !on[f] || !slices.Contains(f.Nodes, node) || len(f.Servers) > 0 && !slices.Contains(f.Servers, s) {
+			if !on[f] || !slices.Contains(f.Nodes, node) || len(f.Peers) > 0 || len(f.Servers) > 0 && !slices.Contains(f.Servers, s) {
 				continue
 			}
-			one := f.link()
-			link.CutIn, link.CutOut = link.CutIn || one.CutIn, link.CutOut || one.CutOut
-			link.Broken, link.Hold = link.Broken || one.Broken, link.Hold || one.Hold
-			link.Delay, link.Rate = max(link.Delay, one.Delay), max(link.Rate, one.Rate)
+			link.join(f.link())
 		}
 		l.Set(link)
 	}
 }
+
+// join adds to a link what another fault makes of it.
+func (l *Link) join(o Link) {
+	l.CutIn, l.CutOut = l.CutIn || o.CutIn, l.CutOut || o.CutOut
+	l.Broken, l.Hold = l.Broken || o.Broken, l.Hold || o.Hold
+	l.Delay, l.Rate = max(l.Delay, o.Delay), max(l.Rate, o.Rate)
+}
+
+// setPeers makes the links between processes what the faults that last make of them. A fault of i's links to j is one of
+// j's to i too, the other way round.
+func (r *Rig) setPeers(script []Fault, on map[*Fault]bool) {
+	for i, links := range r.Peers {
+		for j, l := range links {
+			if l == nil {
+				continue
+			}
+			var link Link
+			for k := range script {
+				f := &script[k]
+				if !on[f] {
+					continue
+				}
+				one := f.link()
+				if slices.Contains(f.Nodes, i) && slices.Contains(f.Peers, j) {
+					link.join(one)
+				}
+				if slices.Contains(f.Nodes, j) && slices.Contains(f.Peers, i) {
+					one.CutIn, one.CutOut = one.CutOut, one.CutIn
+					link.join(one)
+				}
+			}
+			l.Set(link)
+		}
+	}
+}
--- a/internal/standin/fleet/script.go
+++ b/internal/standin/fleet/script.go
@@ -38,6 +38,7 @@
 	Kind     Kind
 	Nodes    []int // processes, from 0
 	Servers  []int // for links: to these servers; none: to all
+	Peers    []int // for links: to these processes instead, with what they ask in turn
 	By       time.Duration
 	Rate     int // bytes a second
 }
@@ -52,8 +53,10 @@
 		return fmt.Errorf("to: from %v to %v is no time of the run", f.From, f.To)
 	case len(f.Nodes) == 0:
 		return fmt.Errorf("nodes: none named")
-	case !link && len(f.Servers) > 0:
+	case !link && len(f.Servers)+len(f.Peers) > 0:
 		return fmt.Errorf("servers: %s is of processes alone", f.Kind)
+	case len(f.Servers) > 0 && len(f.Peers) > 0:
+		return fmt.Errorf("peers: a fault is of links to servers or to processes")
 	case f.Kind == Delay && (f.By <= 0 || f.By > time.Minute):
 		return fmt.Errorf("by: %v is not from 1ns to 1m", f.By)
 	case f.Kind == Slow && (f.Rate < 1 || f.Rate > 1e9):
@@ -63,7 +66,7 @@
 		name  string
 		these []int
 		of    int
-	}{{"nodes", f.Nodes, nodes}, {"servers", f.Servers, servers}} {
+	}{{"nodes", f.Nodes, nodes}, {"servers", f.Servers, servers}, {"peers", f.Peers, nodes}} {
 		for _, n := range list.these {
 			if n < 0 || n >= list.of {
 				return fmt.Errorf("%s: %d is not among the %d, from 0", list.name, n, list.of)
@@ -105,6 +108,9 @@
 	if len(f.Servers) > 0 {
 		fmt.Fprintf(&b, "servers = %s\n", list(f.Servers))
 	}
+	if len(f.Peers) > 0 {
+		fmt.Fprintf(&b, "peers = %s\n", list(f.Peers))
+	}
 	if f.Kind == Delay {
 		fmt.Fprintf(&b, "by = %q\n", f.By)
 	}
@@ -145,3 +151,40 @@
 	slices.SortStableFunc(list, func(x, y Fault) int { return cmp.Compare(x.From, y.From) })
 	return list
 }
+
+// DrawPeers draws a script of faults of processes and of the links between them, the first voters of which vote: what Draw is for
+// links to servers. At most a minority of the voters is stopped or dead at once by it; cuts may part any from any.
+func DrawPeers(seed uint64, count, nodes, voters int, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 39))
+	kinds := []Kind{Stop, Stop, Kill, Cut, Cut, CutOut, CutIn, Break, Delay, Slow, Hold, Hold}
+	var list []Fault
+	down := 0 // the voter that alone may be stopped or dead
+	if voters > 2 {
+		down = rng.IntN(voters)
+	}
+	for range count {
+		from := time.Duration(rng.Int64N(int64(length*3/4))).Truncate(time.Millisecond) + length/20
+		f := Fault{From: from, To: from + length/20 + time.Duration(rng.Int64N(int64(length/3))).Truncate(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))]}
+		n := rng.IntN(nodes)
+		if slices.Contains(ofNodes, f.Kind) && n < voters {
+			n = down
+		}
+		f.Nodes = []int{n}
+		if slices.Contains(ofLinks, f.Kind) {
+			for other := range nodes {
+				if other != n && (rng.IntN(3) > 0 || other == (n+1)%nodes) {
+					f.Peers = append(f.Peers, other)
+				}
+			}
+		}
+		switch f.Kind {
+		case Delay:
+			f.By = time.Duration(1+rng.Int64N(500)) * time.Millisecond
+		case Slow:
+			f.Rate = 1000 + rng.IntN(50_000)
+		}
+		list = append(list, f)
+	}
+	slices.SortStableFunc(list, func(x, y Fault) int { return cmp.Compare(x.From, y.From) })
+	return list
+}
--- /dev/null
+++ b/internal/standin/fleet/versions.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// VersionRules are what attempts that bear the number of their rules are judged by. Each version contradicts each other one
+// on all classes that are not safe.
+type VersionRules struct {
+	Safe   []bool // by class
+	Unsafe []bool
+	Out    func(stamp, server int) bool // whether a version has a server out
+	Grace  time.Duration                // after a process took a version, in which servers that it has out may get more
+	Slack  time.Duration
+}
+
+// Contradiction is how long two processes acted on rules that contradict each other, as servers saw it.
+type Contradiction struct {
+	Longest time.Duration
+	Count   int // attempts by rules that others had left behind
+	Worst   Event
+	Over    int // the version whose first attempt the worst one came after
+}
+
+// JudgeVersions reads what came to servers, in the order of the times: how long attempts by a version went on coming after the first one
+// by a later version, and the rules that were broken. It knows nothing of the program.
+func JudgeVersions(events []Event, rules VersionRules) (c Contradiction, found []Finding) {
+	class, process := map[string]int{}, map[string]int{}
+	ran := map[string]int{}
+	type taken struct{ process, stamp int }
+	took := map[taken]time.Duration{}
+	first := map[int]time.Duration{} // of versions, by attempts that are not safe
+	newest := 0
+	for i := range events {
+		e := &events[i]
+		switch e.What {
+		case Asked:
+			class[e.ID], process[e.ID] = e.Class, e.Who
+		case Came:
+			of, known := class[e.ID]
+			if !known || e.Stamp == 0 {
+				found = append(found, Finding{Rule: "an attempt of what nobody asked, or by no rules", At: e.At, ID: e.ID, Who: e.Who})
+				continue
+			}
+			if ran[e.ID]++; rules.Unsafe[of] && ran[e.ID] > 1 {
+				found = append(found, Finding{Rule: "an effect that happened twice", At: e.At, ID: e.ID, Who: e.Who})
+			}
+			by := taken{process[e.ID], e.Stamp}
+			if _, known := took[by]; !known {
+				took[by] = e.At
+			}
+			if rules.Out(e.Stamp, e.Who) && e.At > took[by]+rules.Grace+rules.Slack {
+				found = append(found, Finding{Rule: fmt.Sprintf("an attempt at a server that version %d has out", e.Stamp), At: e.At, ID: e.ID, Who: e.Who, Timing: true})
+			}
+			if rules.Safe[of] {
+				continue
+			}
+			if _, known := first[e.Stamp]; !known {
+				first[e.Stamp] = e.At
+			}
+			newest = max(newest, e.Stamp)
+			for later := e.Stamp + 1; later <= newest; later++ {
+				at, known := first[later]
+				if !known {
+					continue
+				}
+				if c.Count++; e.At-at > c.Longest {
+					c.Longest, c.Worst, c.Over = e.At-at, *e, later
+				}
+				break
+			}
+		}
+	}
+	return c, found
+}
