--- a/internal/cli/agree.go
+++ b/internal/cli/agree.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"time"
 
 	"yokestall/internal/app"
 	"yokestall/internal/config"
@@ -68,12 +69,13 @@
 }
 
 // agreed starts an app that acts on what the fleet agrees on.
-func agreed(first *files.Snapshot, o app.Options, path string) (*app.App, *app.Agreed, *member, error) {
+func agreed(first *files.Snapshot, o app.Options, path string, clock func() time.Duration) (*app.App, *app.Agreed, *member, error) {
 	p := first.Program
 	var source *app.Agreed
 	var m *member
 	o.May = func() bool { return m.node.May() }
 	c := fleetConfig(p, path, o.Keys, o.Log)
+	c.Clock = clock
 	a, err := app.New(app.Blank(p), o)
 	if err != nil {
 		return nil, nil, nil, err
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -71,6 +71,11 @@
 // Serve runs the program by its files until ctx ends. ready, if given, is called with
 // the address once it listens.
 func Serve(ctx context.Context, path string, log *slog.Logger, ready func(net.Addr)) error {
+	return serveBy(ctx, path, log, ready, nil)
+}
+
+// serveBy is Serve with a clock for the leases of [fleet.agree]; nil: the machine's.
+func serveBy(ctx context.Context, path string, log *slog.Logger, ready func(net.Addr), clock func() time.Duration) error {
 	watcher, first, err := files.Open(path, log)
 	if err != nil {
 		return err
@@ -86,7 +91,7 @@
 	var own *app.Agreed
 	var fleet *member
 	if first.Program.Agree.On() {
-		a, own, fleet, err = agreed(first, o, path)
+		a, own, fleet, err = agreed(first, o, path, clock)
 	} else {
 		a, err = app.New(first, o)
 	}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -144,7 +144,7 @@
 			return nil
 		},
 	}
-	c.AddCommand(run, sockets, processes, compare, list)
+	c.AddCommand(run, sockets, processes, compare, list, labVersions(out), labServe())
 	return c
 }
 
--- a/internal/lab/versions.go
+++ b/internal/lab/versions.go
@@ -37,7 +37,7 @@
 	Faults        int           // drawn
 	Terms         terms.Terms
 	Rate          float64 // requests a second, over all processes
-	Clocks        bool    // processes are given clocks at the ends of what the terms allow, by environment
+	Clocks        bool    // the processes' clocks for leases are fast and slow in turn, by as much as the terms allow
 }
 
 // VersionsOutcome is what came of it.
@@ -90,6 +90,12 @@
 		return nil, err
 	}
 	defer r.rig.Close()
+	if v.Clocks {
+		for i, p := range r.rig.Processes {
+			rate := 1 + v.Terms.Drift*[]float64{1, -1, 0}[i%3]
+			p.Command = append(command[:len(command):len(command)], "lab", "serve", fmt.Sprint("--rate=", rate), "-c")
+		}
+	}
 	r.rig.Record.Begin(time.Now())
 	for i := range v.Boxes {
 		if err := r.box(i); err != nil {
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -17,7 +17,7 @@
 // its methods are safe for concurrent use.
 type Process struct {
 	Dir, Addr string
-	command   []string // that starts it, the configuration's path left out
+	Command   []string // that starts it, the configuration's path left out; not changed while it runs
 	env       []string
 
 	mu     sync.Mutex
@@ -35,7 +35,7 @@
 		return nil, err
 	}
 	defer l.Close()
-	return &Process{Dir: dir, Addr: l.Addr().String(), command: command, env: env}, os.MkdirAll(dir, 0o700)
+	return &Process{Dir: dir, Addr: l.Addr().String(), Command: command, env: env}, os.MkdirAll(dir, 0o700)
 }
 
 // Config is the path of its configuration.
@@ -53,7 +53,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(p.command[0], append(p.command[1:len(p.command):len(p.command)], p.Config())...)
+	cmd := exec.Command(p.Command[0], append(p.Command[1:len(p.Command):len(p.Command)], p.Config())...)
 	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), p.env...), log, log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("%s: %w", p.Dir, err)
--- a/internal/standin/fleet/script.go
+++ b/internal/standin/fleet/script.go
@@ -153,16 +153,38 @@
 }
 
 // DrawPeers draws a script of faults of processes and of the links between them, the first voters of which vote: what Draw is for
-// links to servers. At most a minority of the voters is stopped or dead at once by it; cuts may part any from any.
+// links to servers. At most a minority of the voters is stopped or dead at once by it; cuts may part any from any. In each script one
+// process is cut off from all others for a third of the time, and another one is stopped for as long.
 func DrawPeers(seed uint64, count, nodes, voters int, length time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 39))
 	kinds := []Kind{Stop, Stop, Kill, Cut, Cut, CutOut, CutIn, Break, Delay, Slow, Hold, Hold}
 	var list []Fault
+	all := func(but int) (list []int) {
+		for n := range nodes {
+			if n != but {
+				list = append(list, n)
+			}
+		}
+		return list
+	}
+	alone := rng.IntN(nodes)
+	for _, k := range []Kind{Cut, Stop} {
+		from := length/10 + time.Duration(rng.Int64N(int64(length/4))).Truncate(time.Millisecond)
+		f := Fault{From: from, To: from + length/3, Kind: k, Nodes: []int{alone}}
+		if k == Cut {
+			f.Peers = all(alone)
+		}
+		list = append(list, f)
+		alone = voters + (alone+1)%max(1, nodes-voters) // one that doesn't vote
+		if alone >= nodes {
+			break
+		}
+	}
 	down := 0 // the voter that alone may be stopped or dead
 	if voters > 2 {
 		down = rng.IntN(voters)
 	}
-	for range count {
+	for range count - len(list) {
 		from := time.Duration(rng.Int64N(int64(length*3/4))).Truncate(time.Millisecond) + length/20
 		f := Fault{From: from, To: from + length/20 + time.Duration(rng.Int64N(int64(length/3))).Truncate(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))]}
 		n := rng.IntN(nodes)
