Test what publishers, refusals, deaths of voters and strangers come to between nodes

In one process over real sockets: two publishers at once, the same publish twice, a way back, a version one node can't hold, a leader that dies under a publish, no voters at all, other fleets and keys, too many files, too large ones, 200 publishes from one base.

--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -9,6 +9,9 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"yokestall/internal/config"
 	"yokestall/internal/fleet/agree"
 )
@@ -167,6 +170,9 @@
 		if err == nil && (out.Number > 0 || !out.Again) {
 			return out, nil
 		}
+		if status.Code(err) == codes.InvalidArgument {
+			return nil, err // it will be no better
+		}
 		if err == nil {
 			err = errors.New(out.Error)
 		}
--- /dev/null
+++ b/internal/fleet/peers/peers_test.go
@@ -0,0 +1,428 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"yokestall/internal/config"
+	"yokestall/internal/files"
+	"yokestall/internal/fleet/agree"
+	"yokestall/internal/fleet/terms"
+	"yokestall/internal/standin/keymaker"
+	"yokestall/internal/testkit"
+	"yokestall/internal/tlskeys"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+var quick = terms.Terms{Lease: 400 * time.Millisecond, Drift: 0.05, Take: 50 * time.Millisecond}
+
+// bundle is a version of a program, which says how its one class behaves.
+func bundle(effect string) []config.File {
+	return []config.File{
+		{Name: files.ProgramPart, Text: []byte("[listen]\naddress = \"127.0.0.1:0\"\n[files]\nclusters = \"c\"\n[fleet]\nnodes = 9\n[[class]]\nname = \"a\"\neffect = \"" + effect +
+			"\"\ndeadline = \"1s\"\n[[host]]\n[[host.route]]\nprefix = \"/\"\nclass = \"a\"\ncluster = \"rooms\"\n")},
+		{Name: "rooms.toml", Text: []byte("[cluster]\nname = \"rooms\"\n[[endpoint]]\nid = \"s\"\naddress = \"127.0.0.1:9\"\nzone = \"a\"\nweight = 1\n[end]\nendpoints = 1\n")},
+	}
+}
+
+// group is a fleet within a test.
+type group struct {
+	t      testing.TB
+	dir    string
+	voters []Voter
+	nodes  []*one
+	client *Client
+	keys   []*tlskeys.Store // by node; nil: clear text
+}
+
+type one struct {
+	name   string
+	listen string
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	node   *Node
+	cannot func(v *agree.Version) error
+
+	mu    sync.Mutex
+	acts  []string // effects of the class, as they were taken; "-" where it is refused
+	moved chan struct{}
+}
+
+func newGroup(t testing.TB, voters, followers int, keys ...*tlskeys.Store) *group {
+	g := &group{t: t, dir: t.TempDir(), keys: keys}
+	for i := range voters + followers {
+		n := &one{name: fmt.Sprint("n", i), moved: make(chan struct{}, 100)}
+		if i < voters {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.listen = l.Addr().String()
+			l.Close()
+			g.voters = append(g.voters, Voter{n.name, n.listen})
+		}
+		g.nodes = append(g.nodes, n)
+	}
+	for i := range voters {
+		if err := Init(g.config(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range g.nodes {
+		g.start(i)
+	}
+	var with *tls.Config
+	if len(keys) > 0 {
+		with = keys[0].Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"})
+	}
+	var err error
+	if g.client, err = NewClient("f", g.voters, with); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		g.client.Close()
+		for i := range g.nodes {
+			g.kill(i)
+		}
+	})
+	return g
+}
+
+func (g *group) config(i int) Config {
+	n := g.nodes[i]
+	c := Config{
+		Fleet: "f", Name: n.name, Dir: filepath.Join(g.dir, n.name), Voters: g.voters, Terms: quick, Log: slog.New(slog.DiscardHandler),
+		Alone: terms.Alone{Effects: terms.Cautious, Routes: terms.Cautious, Lists: terms.Cautious},
+		Parse: func(list []config.File) (*agree.Version, error) {
+			s, err := files.Unbundle(list)
+			if err != nil {
+				return nil, err
+			}
+			v := &agree.Version{Program: s.Program, Clusters: s.Version.Clusters}
+			if n.cannot != nil {
+				return v, n.cannot(v)
+			}
+			return v, nil
+		},
+		Take: func(a agree.Acting) error {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			c := a.Program.Classes[0]
+			word := []string{"safe", "keyed", "unsafe"}[c.Effect]
+			if a.Refused[c.Name] != "" {
+				word = "-"
+			}
+			n.acts = append(n.acts, word)
+			select {
+			case n.moved <- struct{}{}:
+			default:
+			}
+			return nil
+		},
+	}
+	if len(g.keys) > 0 {
+		k := g.keys[i%len(g.keys)]
+		c.ServerTLS = k.Server(tlskeys.Clients{Roots: "fleet", Require: true}, "h2")
+		c.ClientTLS = k.Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"})
+	}
+	return c
+}
+
+func (g *group) start(i int) {
+	g.t.Helper()
+	n := g.nodes[i]
+	var err error
+	if n.node, err = Open(g.config(i)); err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	if n.listen != "" {
+		l, err := net.Listen("tcp", n.listen)
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		n.done.Go(func() { n.node.Serve(ctx, l) })
+	}
+	n.done.Go(func() { n.node.Run(ctx) })
+}
+
+// kill ends a node; it is not told of anything that a crash would not tell.
+func (g *group) kill(i int) {
+	n := g.nodes[i]
+	if n.stop == nil {
+		return
+	}
+	n.stop()
+	n.done.Wait()
+	n.node.Close()
+	n.stop = nil
+}
+
+func (g *group) patience() context.Context {
+	ctx, stop := context.WithTimeout(context.Background(), testkit.Patience)
+	g.t.Cleanup(stop)
+	return ctx
+}
+
+// publish publishes until it is known what became of it.
+func (g *group) publish(id string, base uint64, list []config.File) *Published {
+	g.t.Helper()
+	ctx := g.patience()
+	for {
+		p, err := g.client.Publish(ctx, id, base, list)
+		if err == nil && (p.Number > 0 || !p.Again) {
+			return p
+		}
+		if ctx.Err() != nil {
+			g.t.Fatal(err, p)
+		}
+		time.Sleep(10 * time.Millisecond) // between tries of an operator, who sees the fleet elect a leader
+	}
+}
+
+func (g *group) inForce(number uint64) Outcome {
+	g.t.Helper()
+	o, err := g.client.Wait(g.patience(), number, func(Outcome) {})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return o
+}
+
+// acts waits until a node acts on an effect, last.
+func (g *group) acts(i int, effect string) {
+	g.t.Helper()
+	n := g.nodes[i]
+	for {
+		n.mu.Lock()
+		now := ""
+		if len(n.acts) > 0 {
+			now = n.acts[len(n.acts)-1]
+		}
+		n.mu.Unlock()
+		if now == effect && n.node.May() {
+			return
+		}
+		testkit.Wait(g.t, n.moved, n.name+" to act on "+effect)
+	}
+}
+
+// Two publishers at once, the same publish twice, a way back, and what a version that contradicts looks like from a node.
+func TestPublishing(t *testing.T) {
+	g := newGroup(t, 3, 2)
+	first := g.publish("one", 0, bundle("safe"))
+	if first.Number != 1 || first.Contradicts || !g.inForce(1).InForce {
+		t.Fatalf("%+v", first)
+	}
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+	results := make(chan *Published, 2)
+	for _, effect := range []string{"unsafe", "keyed\"\nscope = \"all\"\nwindow = \"5s"} {
+		go func() { results <- g.publish("two-"+effect, 1, bundle(effect)) }()
+	}
+	a, b := <-results, <-results
+	if a.Number == 0 {
+		a, b = b, a
+	}
+	if a.Number != 2 || !a.Contradicts || b.Number != 0 || b.Error == "" {
+		t.Fatalf("of two at once: %+v, %+v", a, b)
+	}
+	if !g.inForce(2).InForce {
+		t.Fatal("not in force")
+	}
+	late := g.publish("three", 1, bundle("unsafe"))
+	if late.Number != 0 || !strings.Contains(late.Error, "not the present one") || late.Present != 2 {
+		t.Errorf("from an old version: %+v", late)
+	}
+	if again := g.publish("one", 0, bundle("safe")); again.Number != 1 {
+		t.Errorf("the same publish again: %+v", again)
+	}
+	back, err := g.client.Rollback(g.patience(), "back", 2, 1)
+	if err != nil || back.Number != 3 || !g.inForce(3).InForce {
+		t.Fatalf("%+v, %v", back, err)
+	}
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+}
+
+// A version that one node can't hold is acted on by nobody, and the answer says which node, and why; one that nobody can read is not proposed.
+func TestRefused(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	g.publish("one", 0, bundle("safe"))
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+	g.nodes[3].cannot = func(v *agree.Version) error {
+		if v.Program.Classes[0].Effect != 0 {
+			return errors.New("an older program knows no such class")
+		}
+		return nil
+	}
+	p := g.publish("two", 1, bundle("unsafe"))
+	if o := g.inForce(p.Number); o.InForce || !strings.HasPrefix(o.Refused, "n3: an older program") {
+		t.Errorf("%+v", o)
+	}
+	if s, err := g.client.Newest(g.patience()); err != nil || s.Facts.Number != 1 || s.Facts.Pending != 0 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+	bad := g.publish("three", 1, bundle("brave"))
+	if bad.Number != 0 || !strings.Contains(bad.Error, "brave") {
+		t.Errorf("a version that can't be read: %+v", bad)
+	}
+	if next := g.publish("four", 1, append(bundle("safe"), config.File{Name: "x.toml", Text: []byte("[cluster]\nname = \"other\"\nno_servers = \"on purpose\"\n[end]\nendpoints = 0\n")})); next.Number == 0 {
+		t.Errorf("after a refusal: %+v", next)
+	}
+}
+
+// A voter's power goes with its disk or without; a publisher whose leader died finds out; nodes without voters act alone, and start so.
+func TestVotersDie(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	g.publish("one", 0, bundle("safe"))
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+	s, err := g.client.Newest(g.patience())
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := 0
+	for i, v := range g.voters {
+		if v.Name == s.Leader {
+			leader = i
+		}
+	}
+	done := make(chan *Published, 1)
+	go func() { done <- g.publish("two", 1, bundle("unsafe")) }()
+	g.kill(leader)
+	if p := testkit.Wait(t, done, "what became of the publish"); p.Number != 2 || !g.inForce(2).InForce {
+		t.Fatalf("%+v", p)
+	}
+	g.acts(3, "unsafe")
+	g.start(leader)
+	g.acts(leader, "unsafe")
+	for i := range g.voters {
+		g.kill(i)
+	}
+	g.acts(3, "-") // unsafe requests are refused by who is alone
+	g.kill(3)
+	g.nodes[3].acts = nil
+	g.start(3)
+	g.acts(3, "-")
+	for i := range g.voters {
+		g.start(i)
+	}
+	g.acts(3, "unsafe")
+}
+
+// Who names another fleet, or shows no key of this one, is turned away, whatever it goes on to say.
+func TestStrangers(t *testing.T) {
+	own, other := t.TempDir(), t.TempDir()
+	for _, dir := range []string{own, other} {
+		ca, err := keymaker.New("fleet")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, "fleet.ca"), ca.PEM, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cert, key, err := ca.Issue(time.Now().Add(-time.Hour), time.Now().Add(time.Hour), "127.0.0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(os.WriteFile(filepath.Join(dir, "node.crt"), cert, 0o600), os.WriteFile(filepath.Join(dir, "node.key"), key, 0o600)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log := slog.New(slog.DiscardHandler)
+	ours, err := tlskeys.Open(own, "node", log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	theirs, err := tlskeys.Open(other, "node", log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newGroup(t, 1, 0, ours)
+	g.publish("one", 0, bundle("safe"))
+	for _, tc := range []struct {
+		what, fleet string
+		with        *tls.Config
+		want        codes.Code
+	}{
+		{"another fleet", "other", ours.Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"}), codes.PermissionDenied},
+		{"no key", "f", ours.Client(tlskeys.Servers{Roots: "fleet"}), codes.Unavailable},
+		{"another key", "f", theirs.Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"}), codes.Unavailable},
+		{"clear text", "f", nil, codes.Unavailable},
+	} {
+		c, err := Dial(g.voters[0], tc.with, tc.fleet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithTimeout(context.Background(), testkit.Patience)
+		if _, err := c.Status(ctx); status.Code(err) != tc.want {
+			t.Errorf("%s: %v", tc.what, err)
+		}
+		stop()
+		c.Close()
+	}
+}
+
+// What is too large, or too much, gets an answer that says so; the fleet goes on.
+func TestTooMuch(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.publish("one", 0, bundle("safe"))
+	many := bundle("safe")
+	for i := range agree.MaxFiles {
+		many = append(many, config.File{Name: fmt.Sprint("f", i)})
+	}
+	if _, err := g.client.Publish(g.patience(), "many", 1, many); err == nil {
+		t.Error("too many files")
+	}
+	big := append(bundle("safe"), config.File{Name: "big.toml", Text: make([]byte, config.MaxFile+1)})
+	if _, err := g.client.Publish(g.patience(), "big", 1, big); err == nil {
+		t.Error("a file over the limit")
+	}
+	var flood sync.WaitGroup
+	taken := make(chan uint64, 200)
+	for i := range 200 {
+		flood.Go(func() {
+			p, err := g.client.Publish(g.patience(), fmt.Sprint("flood-", i), 1, bundle("unsafe"))
+			if err == nil {
+				taken <- p.Number
+			}
+		})
+	}
+	flood.Wait()
+	close(taken)
+	numbers := map[uint64]bool{}
+	for n := range taken {
+		numbers[n] = true
+	}
+	delete(numbers, 0)
+	if len(numbers) != 1 {
+		t.Errorf("of a flood from one base: %v", numbers)
+	}
+	if !g.inForce(2).InForce {
+		t.Error("not in force")
+	}
+}
