Let requests go on when their cluster's settings change under them

A hundred changes of settings under load failed 298 of 512 requests: those in hand when a cluster's decisions were replaced were refused by the old ones, which had lost their servers, or found them retired.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -171,6 +171,14 @@
 			continue
 		}
 		r, err := a.start(name, settings, s.Program.Upstream, by)
+		if err == nil {
+			for _, c := range s.Program.Classes {
+				r.classes = append(r.classes, c.Name)
+			}
+			for _, t := range s.Program.Tenants {
+				r.tenants = append(r.tenants, t.Name)
+			}
+		}
 		if err != nil { // nothing has been changed yet
 			for _, r := range started {
 				r.abort()
--- a/internal/app/running.go
+++ b/internal/app/running.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,10 @@
 	ctx       context.Context
 	stop      context.CancelFunc
 
+	classes []string // names, by their index in settings
+	tenants []string
+	retired atomic.Bool // another took its place, or none
+
 	streams *streams
 	now     atomic.Pointer[tiers]
 	open    atomic.Int64 // requests between Do's begin and end
@@ -124,9 +129,58 @@
 	return t, nil
 }
 
-// Do implements ingress.Cluster: it holds the request to the cluster's bounds and has
-// a tier decide on it.
+// handOvers is how often a request may be begun anew because the settings of its cluster changed under it.
+const handOvers = 3
+
+// Do implements ingress.Cluster. A request whose cluster is replaced under it, because the settings changed, goes on with the one that
+// takes its place if nothing of it has run, or it may run again.
 func (r *running) Do(ctx context.Context, q *engine.Request) (engine.Answer, error) {
+	a, err := r.do(ctx, q)
+	for range handOvers {
+		if !r.retired.Load() || err != nil && err != engine.ErrRetired || err == nil && (a.Verdict == engine.Served || a.Value != nil && a.Verdict != engine.Refused) {
+			break
+		}
+		if err == nil && a.MayHaveRun && r.settings.Classes[q.Class].Effect != policy.Safe {
+			break
+		}
+		next := r.app.state.Load().clusters[r.name]
+		if next == nil || next == r {
+			break
+		}
+		again, ok := next.anew(r, q)
+		if !ok {
+			break
+		}
+		r, q = next, again
+		a, err = r.do(ctx, q)
+	}
+	return a, err
+}
+
+// anew gives a request of another cluster as one of this; false: it is still coming, can't
+// be sent from its beginning, or its class is another.
+func (r *running) anew(from *running, q *engine.Request) (*engine.Request, bool) {
+	if s, ok := q.Payload.(engine.Streamed); q.Coming || ok && (s.Spent() || s.Streaming()) {
+		return nil, false
+	}
+	class := slices.Index(r.classes, from.classes[q.Class])
+	if class < 0 || r.settings.Classes[class].Effect != from.settings.Classes[q.Class].Effect {
+		return nil, false
+	}
+	tenant := 0
+	if len(r.tenants) > 0 && q.Tenant < len(from.tenants) {
+		if tenant = slices.Index(r.tenants, from.tenants[q.Tenant]); tenant < 0 {
+			return nil, false
+		}
+	}
+	return &engine.Request{
+		Class: class, Tenant: tenant, Hint: q.Hint, End: q.End, Patience: q.Patience, Payload: q.Payload,
+		MaxAttempts: q.MaxAttempts, PerTry: q.PerTry, Late: q.Late, Listen: q.Listen, May: q.May, Again: q.Again,
+	}, true
+}
+
+// do holds the request to the cluster's bounds and has a tier decide on it.
+func (r *running) do(ctx context.Context, q *engine.Request) (engine.Answer, error) {
 	t := r.now.Load()
 	open := r.open.Add(1)
 	defer r.open.Add(-1)
@@ -282,6 +336,7 @@
 
 // retire has the cluster finish what is open and end.
 func (r *running) retire(told time.Duration) {
+	r.retired.Store(true)
 	r.each(func(t *tier) {
 		t.cluster.MembersAt(told, policy.ListFull, nil)
 		t.cluster.Retire()
--- /dev/null
+++ b/internal/fleet/agree/log_test.go
@@ -0,0 +1,205 @@
+package agree
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/cryptotest"
+	"time"
+)
+
+func manifest(id string, base uint64, contradicts bool, parts int) *Manifest {
+	m := &Manifest{ID: id, Base: base, Contradicts: contradicts}
+	for i := range parts {
+		m.Parts = append(m.Parts, Part{Name: fmt.Sprint("f", i), Hash: fmt.Sprintf("%064d", i), Size: 1})
+	}
+	return m
+}
+
+// The log is what a plain list of versions says, over drawn entries in any order, late and repeated ones among them.
+func TestLogAgainstAList(t *testing.T) {
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(39, seed))
+		s := &State{}
+		var list []string // ids, by number from 1
+		present, waits, epoch := uint64(0), uint64(0), uint64(0)
+		alive := 0
+		cleared := map[uint64]bool{}
+		for i := range uint64(300) {
+			var e Entry
+			switch rng.IntN(5) {
+			case 0, 1:
+				id := fmt.Sprint("v", rng.IntN(400))
+				m := manifest(id, present-min(present, uint64(rng.IntN(5)/4)), rng.IntN(2) == 0, 1)
+				e.Propose = m
+				if waits == 0 && m.Base == present && !slices.Contains(list, id) {
+					list = append(list, id)
+					if n := uint64(len(list)); present != 0 && (m.Contradicts || alive >= epochMost) {
+						waits, cleared = n, map[uint64]bool{}
+					} else {
+						present = n
+						alive++
+					}
+				}
+			case 2, 3:
+				c := &Clear{Epoch: epoch + uint64(rng.IntN(3)), Voter: uint64(1 + rng.IntN(3))}
+				e.Clear = c
+				if waits != 0 && c.Epoch == epoch+1 {
+					if cleared[c.Voter] = true; len(cleared) == 2 {
+						present, waits, epoch, alive = waits, 0, epoch+1, 1
+					}
+				}
+			case 4:
+				if rng.IntN(4) > 0 {
+					continue
+				}
+				r := &Refuse{Number: uint64(rng.IntN(len(list) + 2)), Node: "n", Why: "no"}
+				e.Refuse = r
+				if waits != 0 && r.Number == waits {
+					waits, epoch = 0, epoch+1
+				}
+			}
+			if err := s.Apply(i+1, e.Marshal(), 3); err != nil {
+				t.Fatal(err)
+			}
+			if s.Number != present || s.Pending != waits || s.Epoch != epoch || s.Last != uint64(len(list)) || len(s.Alive) != alive {
+				t.Fatalf("seed %d, entry %d: %+v; want %d in force, %d waits, epoch %d, %d alive", seed, i, s.Facts(), present, waits, epoch, alive)
+			}
+			for n, id := range list {
+				if m := s.Version(uint64(n + 1)); m == nil || m.ID != id {
+					t.Fatalf("version %d is %+v, not %s", n+1, m, id)
+				}
+			}
+		}
+	}
+}
+
+// The history stays within its bounds, in versions and in files, and never loses what somebody may act on.
+func TestHistoryBounds(t *testing.T) {
+	s := &State{}
+	for i := range uint64(3 * MaxHistory) {
+		parts := 1
+		if i > 2*MaxHistory {
+			parts = MaxFiles
+		}
+		s.propose(manifest(fmt.Sprint(i), s.Number, i%3 == 0, parts))
+		if s.Pending != 0 {
+			s.clear(&Clear{Epoch: s.Epoch + 1, Voter: 1}, 1)
+		}
+		total := 0
+		for _, m := range s.History {
+			total += len(m.Parts)
+		}
+		if len(s.History) > MaxHistory || total > maxParts+(epochMost+1)*MaxFiles || s.Version(s.Number) == nil {
+			t.Fatalf("%d versions of %d files, %d in force", len(s.History), total, s.Number)
+		}
+		for _, n := range s.Alive {
+			if s.Version(n) == nil {
+				t.Fatalf("version %d may be acted on and is forgotten", n)
+			}
+		}
+	}
+}
+
+// A voter that was away while the log was begun anew catches up by a snapshot, and grants no lease on what it knew before.
+func TestCatchUp(t *testing.T) {
+	cryptotest.SetGlobalRandom(t, 1)
+	s := newSim(t, 1, 3, 1, nothing)
+	s.run(2 * time.Second)
+	n := s.nodes[2]
+	n.down = true
+	for i := range compactEvery + 2*compactKeep {
+		s.publish(fmt.Sprint("v", i), false)
+		s.run(s.now + 100*time.Millisecond)
+	}
+	if first := s.nodes[0].disk.Snapshot.GetMetadata().GetIndex(); first < compactEvery/2 {
+		t.Fatalf("the log was not begun anew: %d", first)
+	}
+	s.start(n)
+	s.run(s.now + 10*time.Second)
+	s.healed()
+	if len(s.broken) > 0 || s.versions < compactEvery {
+		t.Errorf("%d versions: %v", s.versions, s.broken)
+	}
+}
+
+// A thousand followers beside three voters: what a voter is asked grows with them and no faster, none hangs on one voter, and a
+// version that contradicts is in force within the bound though one of them is cut off.
+func TestThousandFollowers(t *testing.T) {
+	cryptotest.SetGlobalRandom(t, 2)
+	followers := 1000
+	if raced {
+		followers = 100
+	}
+	s := newSim(t, 2, 3, followers, nothing)
+	s.run(3 * time.Second)
+	s.publish("first", false)
+	s.run(s.now + 2*time.Second)
+	s.nodes[followers/2].cutUntil = s.now + time.Minute
+	s.publish("second", true)
+	s.run(s.now + 3*time.Second)
+	if s.versions != 2 || s.longest == 0 || s.longest > s.terms.Bound() || s.longest < s.terms.Hold()/2 {
+		t.Errorf("%d versions, in force after %v, and the bound is %v", s.versions, s.longest, s.terms.Bound())
+	}
+	on := 0
+	for _, n := range s.nodes {
+		if a := s.acts(n); a.Number == 2 && a.Pending == 0 {
+			on++
+		}
+	}
+	if on != len(s.nodes)-1 || len(s.broken) > 0 {
+		t.Errorf("%d of %d act on it; %v", on, len(s.nodes), s.broken)
+	}
+	for _, id := range s.voters {
+		if held := len(s.nodes[id-1].voter.desk.holders); held < followers || held > MaxHolders {
+			t.Errorf("voter %d has %d leases out", id, held)
+		}
+	}
+}
+
+// A voter grants so many leases and no more; those that are over make room.
+func TestDeskIsFull(t *testing.T) {
+	d := NewDesk(0, simTerms)
+	s := &State{}
+	ask := func(now time.Duration, i int) error {
+		_, err := d.Ask(now, 1, Ask{Node: fmt.Sprint(i), Life: "a"}, s)
+		return err
+	}
+	for i := range MaxHolders {
+		if err := ask(0, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := ask(time.Second, MaxHolders); err != ErrFull {
+		t.Errorf("one more: %v", err)
+	}
+	if err := ask(time.Second, 7); err != nil {
+		t.Errorf("one that has a lease: %v", err)
+	}
+	if err := ask(simTerms.Keep()+time.Millisecond, MaxHolders); err != nil || len(d.holders) != 2 {
+		t.Errorf("once they are over: %v, %d", err, len(d.holders))
+	}
+}
+
+// What can't be an entry is an error, and one that is read is written back the same.
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte(`{"propose":{"id":"a","parts":[{"name":"x","hash":"` + fmt.Sprintf("%064d", 1) + `","size":3}]}}`))
+	f.Add([]byte(`{"clear":{"epoch":1,"voter":2}}`))
+	f.Add([]byte(`{"refuse":{"number":1,"node":"n","why":"w"}}`))
+	f.Add([]byte(`{"clear":{},"refuse":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := ParseEntry(data)
+		if err != nil {
+			return
+		}
+		again, err := ParseEntry(e.Marshal())
+		if err != nil || string(again.Marshal()) != string(e.Marshal()) {
+			t.Fatalf("%s: %v", e.Marshal(), err)
+		}
+		s := &State{Index: 1}
+		if err := s.Apply(2, data, 3); err != nil || len(s.History) > 1 {
+			t.Fatalf("%+v, %v", s, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/agree/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package agree
+
+const raced = true
