--- a/internal/app/agreed.go
+++ b/internal/app/agreed.go
@@ -44,6 +44,16 @@
 	return &agree.Version{Program: snap.Program, Clusters: snap.Version.Clusters}, nil
 }
 
+// Extend is Parse for a version that has the files of another one and changes of lists beside them, at the cost of
+// these.
+func (s *Agreed) Extend(v *agree.Version, changes []config.File) (*agree.Version, error) {
+	clusters, err := files.Change(v.Clusters, changes)
+	if err != nil {
+		return nil, err
+	}
+	return &agree.Version{Program: v.Program, Clusters: clusters}, nil
+}
+
 // Take acts on something from now on.
 func (s *Agreed) Take(a agree.Acting) error {
 	s.mu.Lock()
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"yokestall/internal/config"
 	"yokestall/internal/files"
 	"yokestall/internal/fleet/agree"
 	"yokestall/internal/fleet/peers"
@@ -180,7 +182,7 @@
 }
 
 func (f *fleetCommands) publish() *cobra.Command {
-	base, id, wait := "", "", 30*time.Second
+	base, id, wait, change := "", "", 30*time.Second, false
 	c := &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Have the fleet take up a configuration: classes, limits, tenants, hosts, [fleet] figures and cluster files",
@@ -188,6 +190,17 @@
 			"made from: if that is not the one in force, nothing is published and the difference is shown. The same --id again is the same publish.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if change {
+				text, err := os.ReadFile(args[0])
+				if err != nil {
+					return err
+				}
+				return f.with(func(c *peers.Client) error {
+					return f.submit(cmd.Context(), c, base, id, wait, func(id string, at uint64) (*peers.Published, error) {
+						return c.Change(cmd.Context(), id, at, config.File{Name: args[0], Text: text})
+					})
+				})
+			}
 			list, err := files.Bundle(args[0])
 			if err != nil {
 				return err
@@ -200,6 +213,7 @@
 		},
 	}
 	submitFlags(c, &base, &id, &wait)
+	c.Flags().BoolVar(&change, "change", false, "FILE is a change of one cluster's list: a cluster file with change = true, and removed = [ids]")
 	return c
 }
 
--- /dev/null
+++ b/internal/cluster/patch_test.go
@@ -0,0 +1,93 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+)
+
+// A patch does what it says to a plain map, whatever is drawn; what doesn't go with the list is refused, and nothing is changed.
+func TestPatchAgainstAMap(t *testing.T) {
+	rng := rand.New(rand.NewPCG(39, 3))
+	c := &Cluster{Name: "rooms", ShrinkTo: -1}
+	plain := map[string]Endpoint{}
+	draw := func() Endpoint {
+		i := rng.IntN(60)
+		return Endpoint{ID: fmt.Sprintf("s-%02d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+60*(rng.IntN(8)/7)), Weight: float64(rng.IntN(3)), Health: Health(rng.IntN(2))}
+	}
+	good, refused := 0, 0
+	for range 3000 {
+		p := &Patch{Name: "rooms"}
+		for range rng.IntN(4) {
+			if e := draw(); !slices.ContainsFunc(p.Put, func(o Endpoint) bool { return o.ID == e.ID }) {
+				p.Put = append(p.Put, e)
+			}
+		}
+		slices.SortFunc(p.Put, func(a, b Endpoint) int { return cmpID(a, b) })
+		for range rng.IntN(3) {
+			p.Removed = append(p.Removed, draw().ID)
+		}
+		want, ok := apply(plain, p)
+		before := slices.Clone(c.Endpoints)
+		next, err := c.Apply(p)
+		if (err == nil) != ok {
+			t.Fatalf("%+v: %v, want good %v", p, err, ok)
+		}
+		if !reflect.DeepEqual(before, c.Endpoints) && len(before) > 0 {
+			t.Fatal("the version before was changed")
+		}
+		if err != nil {
+			refused++
+			continue
+		}
+		good++
+		c, plain = next, want
+		if err := c.Check(nil); err != nil || len(c.Endpoints) != len(plain) {
+			t.Fatalf("%v; %d of %d", err, len(c.Endpoints), len(plain))
+		}
+		for _, e := range c.Endpoints {
+			if plain[e.ID] != e {
+				t.Fatalf("%+v, want %+v", e, plain[e.ID])
+			}
+		}
+	}
+	if good < 500 || refused < 500 {
+		t.Errorf("%d good, %d refused", good, refused)
+	}
+}
+
+func cmpID(a, b Endpoint) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+func apply(plain map[string]Endpoint, p *Patch) (map[string]Endpoint, bool) {
+	out := map[string]Endpoint{}
+	for id, e := range plain {
+		out[id] = e
+	}
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(p.Removed))) {
+		if _, there := out[id]; !there {
+			return nil, false
+		}
+		delete(out, id)
+	}
+	for _, e := range p.Put {
+		if slices.Contains(p.Removed, e.ID) {
+			return nil, false
+		}
+		out[e.ID] = e
+	}
+	addresses := map[string]bool{}
+	for _, e := range out {
+		if addresses[e.Address] {
+			return nil, false
+		}
+		addresses[e.Address] = true
+	}
+	return out, len(out) > 0
+}
--- a/internal/files/bundle.go
+++ b/internal/files/bundle.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"path/filepath"
+	"strings"
 
 	"yokestall/internal/cluster"
 	"yokestall/internal/config"
@@ -21,7 +23,7 @@
 	list := []config.File{{Name: ProgramPart, Text: r.program.Text}}
 	for _, f := range r.clusters {
 		name := filepath.Base(f.Name)
-		if name == ProgramPart {
+		if name == ProgramPart || IsChange(name) {
 			return nil, &cluster.Problem{Source: f.Name, Text: "a cluster file of a version can't have this name"}
 		}
 		list = append(list, config.File{Name: name, Text: f.Text})
@@ -33,14 +35,18 @@
 // Unbundle reads and checks a version's files, as Load does those of a folder.
 func Unbundle(list []config.File) (*Snapshot, error) {
 	r := &raw{}
+	var changes []config.File
 	total := 0
 	for _, f := range list {
 		if total += len(f.Text); total > maxTotal {
 			return nil, &cluster.Problem{Source: f.Name, Text: fmt.Sprintf("over %d bytes in all files together", maxTotal)}
 		}
-		if f.Name == ProgramPart {
+		switch {
+		case f.Name == ProgramPart:
 			r.program = f
-		} else {
+		case IsChange(f.Name):
+			changes = append(changes, f)
+		default:
 			r.clusters = append(r.clusters, f)
 		}
 	}
@@ -57,5 +63,38 @@
 	if len(r.parsed.Hosts) == 0 {
 		return nil, &cluster.Problem{Source: ProgramPart, Field: "host", Text: "a version has routes"}
 	}
-	return r.check()
+	out, err := r.check()
+	if err != nil {
+		return nil, err
+	}
+	out.Version.Clusters, err = Change(out.Version.Clusters, changes)
+	return out, err
+}
+
+// ChangePart names the change of a cluster's list that follows so many others.
+func ChangePart(cluster string, others int) string { return fmt.Sprintf("%s+%04d", cluster, others+1) }
+
+// IsChange tells whether a part of a version is a change of a list, by its name.
+func IsChange(name string) bool { return strings.Contains(name, "+") }
+
+// Change gives clusters as changes make them, in their order; those that none changes are the same ones.
+func Change(clusters map[string]*cluster.Cluster, changes []config.File) (map[string]*cluster.Cluster, error) {
+	if len(changes) == 0 {
+		return clusters, nil
+	}
+	out := maps.Clone(clusters)
+	for _, f := range changes {
+		p, err := config.ParseChange(f)
+		if err != nil {
+			return nil, err
+		}
+		c := out[p.Name]
+		if c == nil {
+			return nil, &cluster.Problem{Source: f.Name, Text: fmt.Sprintf("there is no cluster %s", p.Name)}
+		}
+		if out[p.Name], err = c.Apply(p); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
 }
--- a/internal/fleet/agree/contradict.go
+++ b/internal/fleet/agree/contradict.go
@@ -107,9 +107,11 @@
 // order of the kinds and then of the names. It is directed: a server that goes out contradicts, one that comes back does not.
 func Differences(from, to *Version) []Difference {
 	d := &differ{table: Table()}
-	d.classes(from.Program, to.Program)
-	d.fleet(from.Program, to.Program)
-	d.routes(from.Program, to.Program)
+	if from.Program != to.Program {
+		d.classes(from.Program, to.Program)
+		d.fleet(from.Program, to.Program)
+		d.routes(from.Program, to.Program)
+	}
 	d.clusters(from.Clusters, to.Clusters)
 	slices.SortStableFunc(d.list, func(x, y Difference) int {
 		if x.Kind != y.Kind {
@@ -188,6 +190,9 @@
 func (d *differ) clusters(from, to map[string]*cluster.Cluster) {
 	for name, a := range from {
 		b := to[name]
+		if a == b {
+			continue
+		}
 		if b == nil {
 			b = &cluster.Cluster{Name: name, Transport: a.Transport, Bounds: a.Bounds}
 		}
@@ -202,41 +207,50 @@
 }
 
 func (d *differ) servers(in string, from, to []cluster.Endpoint) {
-	after := make(map[string]*cluster.Endpoint, len(to))
-	for i := range to {
-		after[to[i].ID] = &to[i]
-	}
-	before := make(map[string]bool, len(from))
-	for i := range from {
-		a := &from[i]
+	walk(from, to, func(a, b *cluster.Endpoint) {
+		switch {
+		case a == nil && b.Serves():
+			d.note(ServerIn, in+"/"+b.ID, "none", b.Health.String())
+			return
+		case a == nil, b != nil && *a == *b, b == nil && !a.Serves(): // nothing was sent to it, or is to be
+			return
+		}
 		name := in + "/" + a.ID
-		before[a.ID] = true
-		b := after[a.ID]
 		switch {
-		case b != nil && *a == *b:
-			continue
-		case b == nil && a.Serves():
-			d.note(ServerOut, name, a.Health.String(), "gone")
-			continue
 		case b == nil:
-			continue // nothing was sent to it
+			d.note(ServerOut, name, a.Health.String(), "gone")
+			return
 		case a.Serves() && !b.Serves():
 			d.note(ServerOut, name, a.Health.String(), b.Health.String())
-			continue
+			return
 		case !a.Serves() && b.Serves():
 			d.note(ServerIn, name, a.Health.String(), b.Health.String())
-			continue
+			return
 		case !a.Serves():
-			continue
+			return
 		}
 		d.note(ServerMoved, name, a.Address, b.Address)
 		d.note(ServerStarted, name, a.Started, b.Started)
 		d.note(ServerGroup, name, fmt.Sprint(a.Zone, " ", a.Cell), fmt.Sprint(b.Zone, " ", b.Cell))
 		d.note(ServerSize, name, fmt.Sprint(a.Weight, " ", a.Priority, " ", a.Health), fmt.Sprint(b.Weight, " ", b.Priority, " ", b.Health))
-	}
-	for i := range to {
-		if b := &to[i]; !before[b.ID] && b.Serves() {
-			d.note(ServerIn, in+"/"+b.ID, "none", b.Health.String())
+	})
+}
+
+// walk gives the endpoints of two lists side by side, by their ids; nil where one has none. The lists are sorted, as
+// cluster.Cluster.Check leaves them.
+func walk(from, to []cluster.Endpoint, do func(a, b *cluster.Endpoint)) {
+	for i, j := 0, 0; i < len(from) || j < len(to); {
+		switch {
+		case j == len(to) || i < len(from) && from[i].ID < to[j].ID:
+			do(&from[i], nil)
+			i++
+		case i == len(from) || to[j].ID < from[i].ID:
+			do(nil, &to[j])
+			j++
+		default:
+			do(&from[i], &to[j])
+			i++
+			j++
 		}
 	}
 }
--- a/internal/fleet/agree/contradict_test.go
+++ b/internal/fleet/agree/contradict_test.go
@@ -197,7 +197,7 @@
 func BenchmarkDifferences(b *testing.B) {
 	c := &cluster.Cluster{Name: "rooms"}
 	for i := range 10_000 {
-		c.Endpoints = append(c.Endpoints, cluster.Endpoint{ID: fmt.Sprint("s-", i), Address: "127.0.0.1:9000", Weight: 1})
+		c.Endpoints = append(c.Endpoints, cluster.Endpoint{ID: fmt.Sprintf("s-%05d", i), Address: "127.0.0.1:9000", Weight: 1})
 	}
 	other := *c
 	other.Endpoints = append([]cluster.Endpoint(nil), c.Endpoints...)
--- a/internal/fleet/agree/log.go
+++ b/internal/fleet/agree/log.go
@@ -34,6 +34,9 @@
 	By          string `json:"by"`     // the node that proposed it
 	Contradicts bool   `json:"contradicts"`
 	Parts       []Part `json:"parts"`
+	// Extends says that the base's parts are this version's too, and come first; the log has Own of them from then on.
+	Extends bool `json:"extends,omitempty"`
+	Own     int  `json:"own,omitempty"`
 	// Refused says which node can't hold it, and why; "": none said so.
 	Refused string `json:"refused,omitempty"`
 }
@@ -151,6 +154,12 @@
 		return // the publisher finds out by its id
 	}
 	m := *in
+	if m.Own = len(m.Parts); m.Extends {
+		base := s.Version(m.Base)
+		if base == nil || m.Extend(base) != nil {
+			return
+		}
+	}
 	s.Last++
 	m.Number, m.Refused = s.Last, ""
 	m.Contradicts = m.Contradicts || len(s.Alive) >= epochMost
@@ -255,6 +264,12 @@
 	return nil
 }
 
+// Extend puts the base's parts before the version's own.
+func (m *Manifest) Extend(base *Manifest) error {
+	m.Parts = slices.Concat(base.Parts, m.Parts)
+	return m.Check()
+}
+
 // Marshal gives an entry as the log has it.
 func (e *Entry) Marshal() []byte {
 	data, err := json.Marshal(e)
--- a/internal/fleet/agree/stricter.go
+++ b/internal/fleet/agree/stricter.go
@@ -55,25 +55,29 @@
 }
 
 func stricterCluster(from, to *cluster.Cluster) *cluster.Cluster {
-	after := map[string]*cluster.Endpoint{}
+	if from == to {
+		return from
+	}
+	var after []cluster.Endpoint
 	if to != nil {
-		for i := range to.Endpoints {
-			after[to.Endpoints[i].ID] = &to.Endpoints[i]
-		}
+		after = to.Endpoints
 	}
 	out := *from
-	out.Endpoints = slices.Clone(from.Endpoints)
-	for i := range out.Endpoints {
-		a := &out.Endpoints[i]
-		b := after[a.ID]
+	out.Endpoints = make([]cluster.Endpoint, 0, len(from.Endpoints))
+	walk(from.Endpoints, after, func(a, b *cluster.Endpoint) {
+		if a == nil {
+			return
+		}
+		e := *a
 		switch {
-		case !a.Serves():
-		case b == nil || !b.Serves() || a.Address != b.Address || a.Zone != b.Zone || a.Cell != b.Cell:
-			a.Health = cluster.Draining
+		case !e.Serves():
+		case b == nil || !b.Serves() || e.Address != b.Address || e.Zone != b.Zone || e.Cell != b.Cell:
+			e.Health = cluster.Draining
 		default:
-			a.Started = max(a.Started, b.Started)
+			e.Started = max(e.Started, b.Started)
 		}
-	}
+		out.Endpoints = append(out.Endpoints, e)
+	})
 	return &out
 }
 
@@ -158,21 +162,21 @@
 		return fmt.Errorf("cold servers' budgets are wider than the other's")
 	}
 	for name, c := range a.Clusters {
-		other := map[string]*cluster.Endpoint{}
+		if c == b.Clusters[name] {
+			continue
+		}
+		var other []cluster.Endpoint
 		if o := b.Clusters[name]; o != nil {
-			for i := range o.Endpoints {
-				other[o.Endpoints[i].ID] = &o.Endpoints[i]
-			}
+			other = o.Endpoints
 		}
-		for i := range c.Endpoints {
-			e := &c.Endpoints[i]
-			if !e.Serves() {
-				continue
+		walk(c.Endpoints, other, func(e, o *cluster.Endpoint) {
+			if e == nil || !e.Serves() {
+				return
 			}
-			if o := other[e.ID]; o == nil || !o.Serves() || o.Address != e.Address || o.Zone != e.Zone || o.Cell != e.Cell || e.Started < o.Started {
-				return fmt.Errorf("server %s/%s: in use, and the other has it out, elsewhere or colder", name, e.ID)
+			if o == nil || !o.Serves() || o.Address != e.Address || o.Zone != e.Zone || o.Cell != e.Cell || e.Started < o.Started {
+				laxer = fmt.Errorf("server %s/%s: in use, and the other has it out, elsewhere or colder", name, e.ID)
 			}
-		}
+		})
 	}
-	return nil
+	return laxer
 }
--- /dev/null
+++ b/internal/fleet/peers/change_test.go
@@ -0,0 +1,90 @@
+package peers
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/internal/config"
+)
+
+// many is a version with a long list.
+func many(endpoints int) []config.File {
+	var b strings.Builder
+	b.WriteString("[cluster]\nname = \"rooms\"\n")
+	for i := range endpoints {
+		fmt.Fprintf(&b, "[[endpoint]]\nid = \"s-%05d\"\naddress = \"10.%d.%d.1:80\"\nzone = \"a\"\nweight = 1\n", i, i/250, i%250)
+	}
+	fmt.Fprintf(&b, "[end]\nendpoints = %d\n", endpoints)
+	return []config.File{bundle("safe")[0], {Name: "rooms.toml", Text: []byte(b.String())}}
+}
+
+func change(i int, health string) config.File {
+	return config.File{Name: "change.toml", Text: fmt.Appendf(nil, "[cluster]\nname = \"rooms\"\nchange = true\n[[endpoint]]\nid = \"s-%05d\"\naddress = \"10.%d.%d.1:80\"\nzone = \"a\"\nweight = 1\nhealth = %q\n[end]\nendpoints = 1\n", i, i/250, i%250, health)}
+}
+
+// Changes of one long list: each node reads the list itself once and again only when changes are folded into it, all come to the same list, and
+// what doesn't go with it is refused.
+func TestChangesOfAList(t *testing.T) {
+	endpoints, changes := 10_000, 100
+	if testing.Short() || raced {
+		endpoints, changes = 500, foldAfter+5
+	}
+	g := newGroup(t, 3, 2)
+	g.publish("one", 0, many(endpoints))
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+	base, began := uint64(1), time.Now()
+	for i := range changes {
+		health := "draining" // each other one contradicts what is in force
+		if i%2 == 1 {
+			health = "healthy"
+		}
+		for id := fmt.Sprint("c", i); ; {
+			p, err := g.client.Change(g.patience(), id, base, change(i/2, health))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p.Number > 0 {
+				base = p.Number
+				break
+			}
+			if !p.Again && !strings.Contains(p.Error, "not the present one") {
+				t.Fatalf("%+v", p)
+			}
+		}
+		for g.nodes[0].node.state().Number != base {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+	took := time.Since(began)
+	if bad, err := g.client.Change(g.patience(), "bad", base, config.File{Name: "c", Text: []byte("[cluster]\nname = \"rooms\"\nchange = true\nremoved = [\"s-none\"]\n[end]\nendpoints = 0\n")}); err != nil || bad.Number != 0 || !strings.Contains(bad.Error, "not in the list") {
+		t.Errorf("%+v, %v", bad, err)
+	}
+	drain, err := g.client.Change(g.patience(), "last", base, change(7, "draining"))
+	if err != nil || !g.inForce(drain.Number).InForce {
+		t.Fatalf("%+v, %v", drain, err)
+	}
+	for i, n := range g.nodes {
+		for {
+			n.node.heldMu.Lock()
+			v := n.node.held[drain.Number]
+			n.node.heldMu.Unlock()
+			if v != nil {
+				if c := v.Clusters["rooms"]; len(c.Endpoints) != endpoints || c.Endpoints[7].Serves() || !c.Endpoints[8].Serves() {
+					t.Errorf("%s has another list", n.name)
+				}
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		n.mu.Lock()
+		if most := 1 + (changes+foldAfter-1)/foldAfter + 2; n.parsed > most {
+			t.Errorf("node %d read the whole %d times over %d changes; %d at most", i, n.parsed, changes, most)
+		}
+		n.mu.Unlock()
+	}
+	t.Logf("%d changes of a list of %d, half of them contradicting: %v each; the whole was read %d times, changes %d times, by %s", changes, endpoints, took/time.Duration(changes), g.nodes[4].parsed, g.nodes[4].extended, g.nodes[4].name)
+}
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -7,12 +7,15 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"yokestall/internal/config"
+	"yokestall/internal/files"
 	"yokestall/internal/fleet/agree"
 )
 
@@ -125,6 +128,71 @@
 	return c.publish(ctx, p, content)
 }
 
+// foldAfter is how many changes of a list a version has at most; the next one takes the list up whole.
+const foldAfter = 64
+
+// Change has a version taken up that differs from another in one cluster's list: only the change travels. With foldAfter of them beside
+// a list, it is written anew, whole.
+func (c *Client) Change(ctx context.Context, id string, base uint64, change config.File) (*Published, error) {
+	patch, err := config.ParseChange(change)
+	if err != nil {
+		return nil, err
+	}
+	var m *agree.Manifest
+	var at *Conn
+	for _, conn := range c.conns {
+		one, stop := context.WithTimeout(ctx, askFor)
+		m, err = conn.Describe(one, base)
+		if at = conn; err == nil {
+			stop()
+			break
+		}
+		stop()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("version %d: %w", base, err)
+	}
+	others := 0
+	for _, p := range m.Parts {
+		if files.IsChange(p.Name) {
+			others++
+		}
+	}
+	h := hash(change.Text)
+	p := Publish{ID: id, Base: base, Extends: true, Parts: []agree.Part{{Name: files.ChangePart(patch.Name, others), Hash: h, Size: len(change.Text)}}}
+	if others < foldAfter {
+		return c.publish(ctx, p, map[string][]byte{h: change.Text})
+	}
+	list, err := fold(ctx, at, m, change)
+	if err != nil {
+		return nil, err
+	}
+	return c.Publish(ctx, id, base, list)
+}
+
+// fold gives a version's files with a change, and all that came before it, in the lists themselves.
+func fold(ctx context.Context, conn *Conn, m *agree.Manifest, change config.File) ([]config.File, error) {
+	var list, out []config.File
+	for _, p := range m.Parts {
+		data, err := conn.Fetch(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		f := config.File{Name: p.Name, Text: data}
+		if list = append(list, f); p.Name == files.ProgramPart {
+			out = append(out, f)
+		}
+	}
+	s, err := files.Unbundle(append(list, config.File{Name: files.ChangePart("", 0), Text: change.Text}))
+	if err != nil {
+		return nil, err
+	}
+	for i, name := range slices.Sorted(maps.Keys(s.Version.Clusters)) {
+		out = append(out, config.File{Name: fmt.Sprintf("list-%04d.toml", i), Text: config.FormatCluster(s.Version.Clusters[name])})
+	}
+	return out, nil
+}
+
 // Rollback has a version of the history taken up again, as a new one.
 func (c *Client) Rollback(ctx context.Context, id string, base, number uint64) (*Published, error) {
 	last := fmt.Errorf("version %d: %w", number, ErrMajority)
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -39,6 +39,8 @@
 	Clock func() time.Duration
 	// Parse reads a version's files by this program's checks: an error is why this node can't hold it.
 	Parse func(list []config.File) (*agree.Version, error)
+	// Extend is Parse for the files of a version that was read and changes of lists beside them; nil: all is read anew.
+	Extend func(v *agree.Version, changes []config.File) (*agree.Version, error)
 	// Take has the program act on something; what it took before is over when it returns.
 	Take func(a agree.Acting) error
 }
@@ -72,6 +74,7 @@
 	held   map[uint64]*agree.Version
 	cannot map[uint64]string
 	coming map[uint64]bool
+	known  map[uint64]*agree.Manifest // of those held
 }
 
 // acting is what the program acts on, and until when on the node's clock.
@@ -124,7 +127,7 @@
 	n := &Node{
 		Config: c, life: hex.EncodeToString(life), puts: make(chan struct{}, maxPuts), conns: map[uint64]*Conn{}, out: map[uint64]chan *pb.Message{},
 		changed: make(chan struct{}), recent: map[string]time.Time{}, askNow: make(chan struct{}), kick: make(chan struct{}, 1),
-		held: map[uint64]*agree.Version{}, cannot: map[uint64]string{}, coming: map[uint64]bool{},
+		held: map[uint64]*agree.Version{}, cannot: map[uint64]string{}, coming: map[uint64]bool{}, known: map[uint64]*agree.Manifest{},
 	}
 	var err error
 	if n.store, err = store.Open(c.Dir); err != nil {
--- /dev/null
+++ b/internal/fleet/peers/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package peers
+
+const raced = false
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -57,9 +57,10 @@
 	node   *Node
 	cannot func(v *agree.Version) error
 
-	mu    sync.Mutex
-	acts  []string // effects of the class, as they were taken; "-" where it is refused
-	moved chan struct{}
+	mu               sync.Mutex
+	parsed, extended int
+	acts             []string // effects of the class, as they were taken; "-" where it is refused
+	moved            chan struct{}
 }
 
 func newGroup(t testing.TB, voters, followers int, keys ...*tlskeys.Store) *group {
@@ -108,6 +109,9 @@
 		Fleet: "f", Name: n.name, Dir: filepath.Join(g.dir, n.name), Voters: g.voters, Terms: quick, Log: slog.New(slog.DiscardHandler),
 		Alone: terms.Alone{Effects: terms.Cautious, Routes: terms.Cautious, Lists: terms.Cautious},
 		Parse: func(list []config.File) (*agree.Version, error) {
+			n.mu.Lock()
+			n.parsed++
+			n.mu.Unlock()
 			s, err := files.Unbundle(list)
 			if err != nil {
 				return nil, err
@@ -118,6 +122,13 @@
 			}
 			return v, nil
 		},
+		Extend: func(v *agree.Version, changes []config.File) (*agree.Version, error) {
+			n.mu.Lock()
+			n.extended++
+			n.mu.Unlock()
+			clusters, err := files.Change(v.Clusters, changes)
+			return &agree.Version{Program: v.Program, Clusters: clusters}, err
+		},
 		Take: func(a agree.Acting) error {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/internal/fleet/peers/serve.go
+++ b/internal/fleet/peers/serve.go
@@ -152,6 +152,11 @@
 		return nil, errNoVoter
 	}
 	if m := state.Version(in.Number); m != nil {
+		if in.Short && m.Extends {
+			short := *m
+			short.Parts = m.Parts[len(m.Parts)-m.Own:]
+			return &short, nil
+		}
 		return m, nil
 	}
 	return nil, status.Errorf(codes.NotFound, "version %d is not in the history", in.Number)
@@ -233,7 +238,7 @@
 func (n *Node) publish(ctx context.Context, in *Publish) (*Published, error) {
 	ctx, stop := context.WithTimeout(ctx, publishFor)
 	defer stop()
-	m := &agree.Manifest{ID: in.ID, Base: in.Base, By: n.Name, Parts: in.Parts}
+	m := &agree.Manifest{ID: in.ID, Base: in.Base, By: n.Name, Parts: in.Parts, Extends: in.Extends}
 	if err := m.Check(); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -244,7 +249,17 @@
 	if out := outcome(state, in.ID); out != nil {
 		return out, nil // it was sent twice
 	}
-	next, err := n.read(ctx, m)
+	whole := *m
+	if whole.Own = len(m.Parts); m.Extends {
+		base := state.Version(m.Base)
+		if base == nil {
+			return &Published{Error: fmt.Sprintf("version %d is not in the history", m.Base), Present: state.Number}, nil
+		}
+		if err := whole.Extend(base); err != nil {
+			return &Published{Error: err.Error(), Present: state.Number}, nil
+		}
+	}
+	next, err := n.read(ctx, &whole)
 	if err != nil {
 		return &Published{Error: err.Error(), Present: state.Number}, nil
 	}
@@ -279,6 +294,9 @@
 		}
 		state, changed := n.newState()
 		if out := outcome(state, in.ID); out != nil {
+			n.heldMu.Lock()
+			n.keep(state.Version(out.Number), next) // it was read already
+			n.heldMu.Unlock()
 			return out, nil
 		}
 		if err := state.May(m); err != nil {
--- a/internal/fleet/peers/take.go
+++ b/internal/fleet/peers/take.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"yokestall/internal/config"
+	"yokestall/internal/files"
 	"yokestall/internal/fleet/agree"
 )
 
@@ -38,7 +40,7 @@
 			n.heldMu.Lock()
 			delete(n.coming, number)
 			if err == nil {
-				n.keep(number, v)
+				n.keep(m, v)
 			} else {
 				n.cannot[number] = err.Error()
 				for old := range n.cannot {
@@ -77,17 +79,22 @@
 	}
 }
 
-// keep keeps a version read; n.heldMu is held. The oldest that nothing needs goes.
-func (n *Node) keep(number uint64, v *agree.Version) {
-	n.held[number] = v
-	for len(n.held) > heldMost {
+// keep keeps a version read; n.heldMu is held, and n.mu is not. The oldest that nothing needs goes.
+func (n *Node) keep(m *agree.Manifest, v *agree.Version) {
+	n.held[m.Number], n.known[m.Number] = v, m
+	var alive []uint64 // a voter holds a new version against each of them
+	if s := n.state(); s != nil {
+		alive = s.Alive
+	}
+	for len(n.held) > heldMost+len(alive) {
 		oldest := uint64(math.MaxUint64)
 		for k := range n.held {
-			if a := n.acting.Load(); a == nil || k != a.rules.Number && k != a.rules.Pending {
+			if a := n.acting.Load(); (a == nil || k != a.rules.Number && k != a.rules.Pending) && !slices.Contains(alive, k) {
 				oldest = min(oldest, k)
 			}
 		}
 		delete(n.held, oldest)
+		delete(n.known, oldest)
 	}
 }
 
@@ -125,7 +132,7 @@
 	last := fmt.Errorf("no voter has version %d", number)
 	for _, c := range n.conns {
 		one, stop := context.WithTimeout(ctx, time.Second)
-		m, err := c.Describe(one, number)
+		m, err := n.describeBy(one, c, number)
 		stop()
 		if err == nil && m.Number == number {
 			return m, m.Check()
@@ -137,8 +144,52 @@
 	return nil, last
 }
 
+// describeBy asks a voter for a manifest: for what it adds to its base, if that is known here.
+func (n *Node) describeBy(ctx context.Context, c *Conn, number uint64) (*agree.Manifest, error) {
+	m, err := call[agree.Manifest](ctx, c, "Describe", Number{Number: number, Short: true})
+	if err != nil || !m.Extends {
+		return m, err
+	}
+	n.heldMu.Lock()
+	base := n.known[m.Base]
+	n.heldMu.Unlock()
+	if base == nil {
+		return c.Describe(ctx, number)
+	}
+	return m, m.Extend(base)
+}
+
+// extend reads a version from its base, if that is held and nothing but changes of lists were added.
+func (n *Node) extend(ctx context.Context, m *agree.Manifest) (*agree.Version, error) {
+	n.heldMu.Lock()
+	base, known := n.held[m.Base], n.known[m.Base]
+	n.heldMu.Unlock()
+	if n.Extend == nil || !m.Extends || base == nil || len(known.Parts)+m.Own != len(m.Parts) {
+		return nil, nil
+	}
+	var changes []config.File
+	for _, p := range m.Parts[len(known.Parts):] {
+		if !files.IsChange(p.Name) {
+			return nil, nil
+		}
+		data, err := n.content(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, config.File{Name: p.Name, Text: data})
+	}
+	v, err := n.Extend(base, changes)
+	if err != nil {
+		return nil, &cannot{err}
+	}
+	return v, nil
+}
+
 // read gets a version's content, from here or from voters, and reads it.
 func (n *Node) read(ctx context.Context, m *agree.Manifest) (*agree.Version, error) {
+	if v, err := n.extend(ctx, m); v != nil || err != nil {
+		return v, err
+	}
 	var list []config.File
 	for _, p := range m.Parts {
 		data, err := n.content(ctx, p)
@@ -313,7 +364,7 @@
 		return
 	}
 	n.heldMu.Lock()
-	n.keep(m.Number, v)
+	n.keep(m, v)
 	n.heldMu.Unlock()
 	n.alone(v, agree.Rules{Number: m.Number})
 }
--- a/internal/fleet/peers/wire.go
+++ b/internal/fleet/peers/wire.go
@@ -29,6 +29,7 @@
 // Number asks for a version.
 type Number struct {
 	Number uint64 `json:"number"`
+	Short  bool   `json:"short"` // what it adds to its base is enough
 }
 
 // Piece asks for content from a place on.
@@ -49,6 +50,8 @@
 	ID    string       `json:"id"`
 	Base  uint64       `json:"base"`
 	Parts []agree.Part `json:"parts"`
+	// Extends says that the parts are beside all those of the base.
+	Extends bool `json:"extends,omitempty"`
 }
 
 // Published says what became of it.
@@ -183,7 +186,7 @@
 
 // Describe asks for a version's manifest.
 func (c *Conn) Describe(ctx context.Context, number uint64) (*agree.Manifest, error) {
-	return call[agree.Manifest](ctx, c, "Describe", Number{number})
+	return call[agree.Manifest](ctx, c, "Describe", Number{Number: number})
 }
 
 // Status asks how the node sees the fleet.
