--- a/cmd/yokestall/versions_test.go
+++ b/cmd/yokestall/versions_test.go
@@ -28,31 +28,46 @@
 		t.Skip("real time")
 	}
 	for seed := range uint64(3) {
-		t.Run("", func(t *testing.T) {
-			itself, env := testkit.Itself()
-			dir := t.TempDir()
-			o, err := lab.PlayVersions(t.Context(), versionsRun(seed+1), dir, itself, env)
-			if err != nil {
-				showLogs(t, dir)
-				t.Fatal(err)
-			}
-			if o.Longest > o.Bound {
-				t.Errorf("two acted on versions that contradict for %v, and the bound is %v: %+v after the first of %d", o.Longest, o.Bound, o.Worst, o.Over)
-			}
-			found := slices.DeleteFunc(o.Found, func(f fleet.Finding) bool { return f.Timing })
-			if len(found) > 0 || o.Served < o.Asked/4 {
-				t.Errorf("%d of %d served; rules broken: %v", o.Served, o.Asked, found)
-			}
-			if t.Failed() {
-				t.Log(o.Script)
-				showLogs(t, dir)
-			}
-			t.Logf("%d versions, in force after %v at half of them and %v at most; contradiction %v (%d attempts) of %v; %d asked, %d served, %d refused, %d failed; %d late at servers that were out",
-				o.Published, o.Times[len(o.Times)/2], o.Times[len(o.Times)-1], o.Longest, o.Count, o.Bound, o.Asked, o.Served, o.Refused, o.Failed, len(o.Found))
-		})
+		t.Run("", func(t *testing.T) { playVersions(t, versionsRun(seed+1)) })
 	}
 }
 
+// All processes lose power at one moment, twice, and come back one by one, one of them on an emptied disk: what was acknowledged is there, and
+// those that come back first act on nothing that later ones contradict.
+func TestVersionsThroughPowerLoss(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real time")
+	}
+	for seed := range uint64(2) {
+		v := versionsRun(seed + 1)
+		v.Power = true
+		t.Run("", func(t *testing.T) { playVersions(t, v) })
+	}
+}
+
+func playVersions(t *testing.T, v lab.Versions) {
+	itself, env := testkit.Itself()
+	dir := t.TempDir()
+	o, err := lab.PlayVersions(t.Context(), v, dir, itself, env)
+	if err != nil {
+		showLogs(t, dir)
+		t.Fatal(err)
+	}
+	if o.Longest > o.Bound {
+		t.Errorf("two acted on versions that contradict for %v, and the bound is %v: %+v after the first of %d", o.Longest, o.Bound, o.Worst, o.Over)
+	}
+	found := slices.DeleteFunc(o.Found, func(f fleet.Finding) bool { return f.Timing })
+	if len(found) > 0 || o.Served < o.Asked/4 {
+		t.Errorf("%d of %d served; rules broken: %v", o.Served, o.Asked, found)
+	}
+	if t.Failed() {
+		t.Log(o.Script)
+		showLogs(t, dir)
+	}
+	t.Logf("%d versions, in force after %v at half of them and %v at most; contradiction %v (%d attempts) of %v; %d asked, %d served, %d refused, %d failed; %d late at servers that were out",
+		o.Published, o.Times[len(o.Times)/2], o.Times[len(o.Times)-1], o.Longest, o.Count, o.Bound, o.Asked, o.Served, o.Refused, o.Failed, len(o.Found))
+}
+
 func showLogs(t *testing.T, dir string) {
 	logs, _ := filepath.Glob(filepath.Join(dir, "*", "log"))
 	for _, l := range logs {
--- a/internal/lab/versions.go
+++ b/internal/lab/versions.go
@@ -35,6 +35,7 @@
 	Count         int           // versions to publish, evenly over the length, or as fast as they come into force
 	Length        time.Duration // of the faults; the run goes on until all is published, and some time after
 	Faults        int           // drawn
+	Power         bool          // instead of drawn faults all processes lose power twice, and come back one by one
 	Terms         terms.Terms
 	Rate          float64 // requests a second, over all processes
 	Clocks        bool    // the processes' clocks for leases are fast and slow in turn, by as much as the terms allow
@@ -72,13 +73,14 @@
 	out    VersionsOutcome
 
 	asks, served, refused, failed atomic.Int64
+	acked                         map[uint64]string // ids of versions that were acknowledged, by number
 	mu                            sync.Mutex
 	last                          map[int]int // by process: the stamp of the last request that it had served
 }
 
 // PlayVersions plays a run in a folder, with processes started by a command.
 func PlayVersions(ctx context.Context, v Versions, dir string, command, env []string) (out *VersionsOutcome, err error) {
-	r := &versionRun{Versions: v, last: map[int]int{}}
+	r := &versionRun{Versions: v, last: map[int]int{}, acked: map[uint64]string{}}
 	r.client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer r.client.CloseIdleConnections()
 	defer func() {
@@ -224,6 +226,9 @@
 		return err
 	}
 	r.out.Script = fleet.DrawPeers(r.Seed, r.Faults, r.Nodes, r.Voters, r.Length)
+	if r.Power {
+		r.out.Script = fleet.DrawPower(r.Seed, r.Nodes, r.Voters, r.Length)
+	}
 	began := time.Now()
 	loaded, stop := context.WithCancel(ctx)
 	defer stop()
@@ -246,6 +251,9 @@
 	if err == nil {
 		err = r.settled(ctx, last)
 	}
+	if err == nil {
+		err = r.kept(ctx, c)
+	}
 	stop()
 	run.Wait()
 	return err
@@ -269,6 +277,7 @@
 			var p *peers.Published
 			if p, err = c.Publish(ctx, id, s.Facts.Number, r.bundle(stamp)); err == nil && p.Number > 0 {
 				r.out.Published++
+				r.acked[p.Number] = id
 				o, err := c.Wait(ctx, p.Number, func(peers.Outcome) {})
 				if err != nil || !o.InForce {
 					return 0, fmt.Errorf("version %d: %+v: %w", stamp, o, err)
@@ -284,6 +293,26 @@
 	}
 }
 
+// kept looks for all versions that were acknowledged.
+func (r *versionRun) kept(ctx context.Context, c *peers.Client) error {
+	s, err := c.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range s.History {
+		if id, acked := r.acked[m.Number]; acked && id != m.ID {
+			return fmt.Errorf("version %d was acknowledged as %s and is %s", m.Number, id, m.ID)
+		}
+		delete(r.acked, m.Number)
+	}
+	for number := range r.acked {
+		if len(s.History) > 0 && number >= s.History[0].Number {
+			return fmt.Errorf("version %d was acknowledged and is gone", number)
+		}
+	}
+	return nil
+}
+
 // load asks all processes, at a rate.
 func (r *versionRun) load(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.Seed, 40))
--- a/internal/standin/fleet/script.go
+++ b/internal/standin/fleet/script.go
@@ -210,3 +210,22 @@
 	slices.SortStableFunc(list, func(x, y Fault) int { return cmp.Compare(x.From, y.From) })
 	return list
 }
+
+// DrawPower draws a script in which all processes lose power at one moment, twice, and come back one by one; one of those that don't vote may
+// come back on an emptied disk.
+func DrawPower(seed uint64, nodes, voters int, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 41))
+	var list []Fault
+	for i := range 2 {
+		from := (length*time.Duration(1+3*i)/6 + time.Duration(rng.Int64N(int64(length/6)))).Truncate(time.Millisecond)
+		emptied := voters + rng.IntN(max(1, nodes-voters))
+		for n := range nodes {
+			f := Fault{From: from, To: from + length/20 + time.Duration(rng.Int64N(int64(length/4))).Truncate(time.Millisecond), Kind: Kill, Nodes: []int{n}}
+			if n == emptied {
+				f.Kind = Empty
+			}
+			list = append(list, f)
+		}
+	}
+	return list
+}
