--- /dev/null
+++ b/internal/fleet/owner/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package owner
+
+const raced = true
