Give works one owner at a time, by the leases that nodes have already

A work's owner is in the log, its token is its place there. An owner acts while a majority of the voters has promised not to free what it is to lose; one that is to be replaced is freed by a majority once it has confirmed or its leases are over. A node's works are renewed together, with its lease.

--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -36,14 +36,16 @@
 	Life      string `json:"life"`      // of the process: another one after each start
 	Seq       uint64 `json:"seq"`       // by which the answer is told from those to earlier asks
 	Confirmed uint64 `json:"confirmed"` // it acts on nothing any more that came before this epoch
+	Set       uint64 `json:"set"`       // nor as the owner of works by a set before this one
 }
 
-// Grant is a voter's promise: for the length of a lease from the ask on, it clears no epoch past Upto unless the node
-// confirms it.
+// Grant is a voter's promise: for the length of a lease from the ask on, it clears no epoch past Upto, and frees no work of the process that it
+// is to lose past Set, unless the node confirms it.
 type Grant struct {
 	Voter uint64 `json:"voter"`
 	Seq   uint64 `json:"seq"`
 	Upto  uint64 `json:"upto"`
+	Set   uint64 `json:"set"`
 	Facts Facts  `json:"facts"`
 }
 
@@ -64,10 +66,8 @@
 type holder struct{ node, life string }
 
 type held struct {
-	upto      uint64        // of the last grant
-	end       time.Duration // of the last grant
-	before    time.Duration // end of the last grant up to an earlier epoch
-	confirmed uint64
+	epochs, works promise
+	since         time.Duration // it has held leases without a gap
 }
 
 // NewDesk starts a desk.
@@ -85,21 +85,22 @@
 				return Grant{}, ErrFull
 			}
 		}
-		h = &held{upto: s.Upto()}
+		h = &held{since: now}
 		d.holders[key] = h
 	}
-	h.confirmed = max(h.confirmed, a.Confirmed)
-	if u := s.Upto(); u > h.upto {
-		h.upto, h.before = u, max(h.before, h.end)
+	if h.epochs.end <= now {
+		h.since = now
 	}
-	h.end = now + d.terms.Keep()
-	return Grant{Voter: voter, Seq: a.Seq, Upto: h.upto, Facts: s.Facts()}, nil
+	end := now + d.terms.Keep()
+	h.epochs.grant(s.Upto(), a.Confirmed, end)
+	h.works.grant(s.Set(a.Node, a.Life), a.Set, end)
+	return Grant{Voter: voter, Seq: a.Seq, Upto: h.epochs.mark, Set: h.works.mark, Facts: s.Facts()}, nil
 }
 
 // Nodes names the processes that hold a lease, once each, in order.
 func (d *Desk) Nodes(now time.Duration) (list []string) {
 	for key, h := range d.holders {
-		if h.end > now {
+		if h.epochs.end > now {
 			list = append(list, key.node)
 		}
 	}
@@ -110,7 +111,7 @@
 // sweep forgets leases that are over.
 func (d *Desk) sweep(now time.Duration) {
 	for key, h := range d.holders {
-		if h.end <= now {
+		if h.epochs.end <= now {
 			delete(d.holders, key)
 		}
 	}
@@ -123,11 +124,7 @@
 		return false, []string{"leases of an earlier life"}
 	}
 	for key, h := range d.holders {
-		end := h.before
-		if h.upto < epoch {
-			end = h.end
-		}
-		if h.confirmed < epoch && now < end {
+		if !h.epochs.over(now, epoch) {
 			waits = append(waits, key.node)
 		}
 	}
@@ -164,7 +161,9 @@
 	confirmed uint64
 	seq       uint64
 	asked     map[uint64]time.Duration      // when each ask of late was sent
-	grants    map[uint64][]lent             // by voter, ascending Upto
+	grants    map[uint64][]lent             // by voter: epochs
+	sets      map[uint64][]lent             // by voter: sets of works
+	set       uint64                        // the set that the node acts on
 	holds     func(number uint64) (ok bool) // whether the node has a version's content, checked
 }
 
@@ -179,7 +178,7 @@
 
 // NewLease starts a node's side; holds tells which versions it could act on.
 func NewLease(t Terms, voters int, holds func(number uint64) bool) *Lease {
-	return &Lease{terms: t, voters: voters, holds: holds, asked: map[uint64]time.Duration{}, grants: map[uint64][]lent{}}
+	return &Lease{terms: t, voters: voters, holds: holds, asked: map[uint64]time.Duration{}, grants: map[uint64][]lent{}, sets: map[uint64][]lent{}}
 }
 
 // Ask gives the next ask; it counts from now on, so it must not be sent late on purpose.
@@ -187,7 +186,7 @@
 	l.seq++
 	l.asked[l.seq] = now
 	delete(l.asked, l.seq-asksMost)
-	return Ask{Seq: l.seq, Confirmed: l.confirmed}
+	return Ask{Seq: l.seq, Confirmed: l.confirmed, Set: l.set}
 }
 
 // Granted takes an answer. One that arrives twice, or late, counts as it would have at its time.
@@ -198,15 +197,18 @@
 		return
 	}
 	end := at + l.terms.Hold()
-	list := l.grants[g.Voter]
-	i := slices.IndexFunc(list, func(x lent) bool { return x.upto == g.Upto })
-	if i >= 0 {
+	l.grants[g.Voter] = lend(l.grants[g.Voter], g.Upto, end, l.facts.Epoch)
+	l.sets[g.Voter] = lend(l.sets[g.Voter], g.Set, end, l.set+1)
+}
+
+// lend adds a promise to those of a voter. Of those by marks that are past only the latest but one matters.
+func lend(list []lent, upto uint64, end time.Duration, now uint64) []lent {
+	if i := slices.IndexFunc(list, func(x lent) bool { return x.upto == upto }); i >= 0 {
 		list[i].end = max(list[i].end, end)
-		return
+		return list
 	}
-	// Only the epoch acted on and the one that follows matter.
-	list = slices.DeleteFunc(list, func(x lent) bool { return x.upto+1 < l.facts.Epoch })
-	l.grants[g.Voter] = append(list, lent{g.Upto, end})
+	list = slices.DeleteFunc(list, func(x lent) bool { return x.upto+1 < now })
+	return append(list, lent{upto, end})
 }
 
 // News takes what a voter says of the log without a promise.
@@ -220,9 +222,11 @@
 func (l *Lease) Facts() Facts { return l.facts }
 
 // count gives how many voters' promises keep epochs past one from being cleared.
-func (l *Lease) count(now time.Duration, epoch uint64) (n int) {
-	for _, list := range l.grants {
-		if slices.ContainsFunc(list, func(x lent) bool { return x.upto <= epoch && now < x.end }) {
+func (l *Lease) count(now time.Duration, epoch uint64) (n int) { return count(l.grants, now, epoch) }
+
+func count(grants map[uint64][]lent, now time.Duration, upto uint64) (n int) {
+	for _, list := range grants {
+		if slices.ContainsFunc(list, func(x lent) bool { return x.upto <= upto && now < x.end }) {
 			n++
 		}
 	}
@@ -252,6 +256,14 @@
 // Took says that the node acts on rules from now on, and on nothing earlier any more; the next ask confirms it.
 func (l *Lease) Took(r Rules) { l.confirmed = max(l.confirmed, r.Epoch) }
 
+// TookSet says that the node acts as the owner by a set of works from now on, and by none before; the next ask confirms it.
+func (l *Lease) TookSet(set uint64) { l.set = max(l.set, set) }
+
+// MayOwn tells whether the node may act at this moment as the owner of the works of the set that it took last.
+func (l *Lease) MayOwn(now time.Duration) bool {
+	return l.set > 0 && count(l.sets, now, l.set) > l.voters/2
+}
+
 // Left is how long the node may go on acting on rules if it hears nothing more.
 func (l *Lease) Left(now time.Duration, r Rules) time.Duration {
 	var ends []time.Duration
--- a/internal/fleet/agree/log.go
+++ b/internal/fleet/agree/log.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -46,6 +47,8 @@
 	Propose *Manifest `json:"propose,omitempty"`
 	Clear   *Clear    `json:"clear,omitempty"`
 	Refuse  *Refuse   `json:"refuse,omitempty"`
+	Own     *Own      `json:"own,omitempty"`
+	Free    *Free     `json:"free,omitempty"`
 }
 
 // Clear is a voter's word that nobody whom it granted a lease acts on what came before an epoch any more.
@@ -72,6 +75,9 @@
 	Alive   []uint64   `json:"alive"`   // versions of this epoch, any of which some node may act on; ascending
 	Last    uint64     `json:"last"`    // the highest number given out
 	History []Manifest `json:"history"` // ascending
+
+	Works map[string]Ownership `json:"works,omitempty"`
+	Sets  map[string]uint64    `json:"sets,omitempty"` // see Set
 }
 
 // Upto is the epoch up to which a lease that is granted now goes.
@@ -107,6 +113,7 @@
 func (s *State) Clone() *State {
 	out := *s
 	out.Cleared, out.Alive, out.History = slices.Clone(s.Cleared), slices.Clone(s.Alive), slices.Clone(s.History)
+	out.Works, out.Sets = maps.Clone(s.Works), maps.Clone(s.Sets)
 	return &out
 }
 
@@ -145,6 +152,10 @@
 		s.clear(e.Clear, voters)
 	case e.Refuse != nil:
 		s.refuse(e.Refuse)
+	case e.Own != nil:
+		s.own(index, e.Own)
+	case e.Free != nil:
+		s.free(index, e.Free, voters)
 	}
 	return nil
 }
@@ -229,7 +240,7 @@
 		return nil, err
 	}
 	set := 0
-	for _, there := range []bool{e.Propose != nil, e.Clear != nil, e.Refuse != nil} {
+	for _, there := range []bool{e.Propose != nil, e.Clear != nil, e.Refuse != nil, e.Own != nil, e.Free != nil} {
 		if there {
 			set++
 		}
@@ -240,6 +251,9 @@
 	if m := e.Propose; m != nil {
 		return e, m.Check()
 	}
+	if o := e.Own; o != nil && (o.Work == "" || o.Node == "" || len(o.Work) > MaxName || len(o.Node) > MaxName || len(o.Life) > MaxName) {
+		return nil, fmt.Errorf("own: a work, a node and a life of at most %d bytes", MaxName)
+	}
 	return e, nil
 }
 
--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -31,6 +32,8 @@
 	fromAnswer without = "a lease counts from its answer on"
 	confirmed  without = "a node confirms before it has changed over"
 	majority   without = "one voter's promise is enough"
+	ownLease   without = "an owner does not look at its lease"
+	freed      without = "a work is given on at once"
 )
 
 // heldMost is how long the network may hold a message and deliver it all the same.
@@ -56,6 +59,8 @@
 	versions,
 	changes int
 	pendingAt map[uint64]time.Duration
+	takeovers int
+	tokens    map[string]uint64 // by work: the highest that an owner acted by
 }
 
 type simNode struct {
@@ -69,6 +74,7 @@
 	lease       *Lease
 	acting      Rules
 	flag        bool // for atWake
+	owned       map[string]uint64
 	down        bool
 	pausedUntil time.Duration
 	cutUntil    time.Duration // all its links
@@ -99,7 +105,7 @@
 var simTerms = Terms{Lease: 1500 * time.Millisecond, Drift: 0.1, Take: 100 * time.Millisecond}
 
 func newSim(t testing.TB, seed uint64, voters, followers int, out without) *fleetSim {
-	s := &fleetSim{t: t, rng: rand.New(rand.NewPCG(seed, 39)), out: out, terms: simTerms, acked: map[string]uint64{}, epochs: map[uint64]uint64{}, pendingAt: map[uint64]time.Duration{}}
+	s := &fleetSim{t: t, rng: rand.New(rand.NewPCG(seed, 39)), out: out, terms: simTerms, acked: map[string]uint64{}, epochs: map[uint64]uint64{}, pendingAt: map[uint64]time.Duration{}, tokens: map[string]uint64{}}
 	if out == drift {
 		s.terms.Drift = 0
 	}
@@ -147,7 +153,7 @@
 
 func (s *fleetSim) start(n *simNode) {
 	n.life++
-	n.down, n.acting, n.late, n.pausedUntil = false, Rules{}, nil, 0
+	n.down, n.acting, n.late, n.pausedUntil, n.owned = false, Rules{}, nil, 0, nil
 	now := n.clock(s.now)
 	voters := len(s.voters)
 	heard := map[uint64]time.Duration{}
@@ -169,6 +175,12 @@
 			v.desk.quiet = 0
 		}
 		n.voter = v
+		for i := range 6 {
+			v.Works = append(v.Works, fmt.Sprint("w", i))
+		}
+		for i := range voters {
+			v.Eligible = append(v.Eligible, fmt.Sprint("n", i+1))
+		}
 		s.ticks(n)
 	}
 	s.asks(n)
@@ -284,6 +296,16 @@
 				}
 			}
 		}
+		if s.out == freed && slices.ContainsFunc(slices.Collect(maps.Values(v.State().Works)), func(w Ownership) bool { return w.Asked != 0 }) {
+			v.desk.holders, v.desk.quiet = map[holder]*held{}, 0
+		}
+		if set := v.State().Set(n.name, fmt.Sprint(n.life)); set > n.lease.set {
+			n.owned = v.State().Owned(n.name, fmt.Sprint(n.life))
+			n.lease.TookSet(set)
+			s.takeovers++
+			s.ask(n)
+		}
+		s.judgeOwners()
 		if s.out == waiting && v.State().Pending != 0 {
 			v.desk.holders, v.desk.quiet = map[holder]*held{}, 0
 		}
@@ -355,6 +377,31 @@
 	return Rules{}
 }
 
+// owns gives the works that a node acts as the owner of at this moment.
+func (s *fleetSim) owns(n *simNode) map[string]uint64 {
+	if n.down || n.pausedUntil > s.now || len(n.owned) == 0 || s.out != ownLease && !n.lease.MayOwn(n.clock(s.now)) {
+		return nil
+	}
+	return n.owned
+}
+
+// judgeOwners looks for two owners of one work at one moment, and for an owner by a token that was passed.
+func (s *fleetSim) judgeOwners() {
+	owner := map[string]*simNode{}
+	for _, id := range s.voters {
+		n := s.nodes[id-1]
+		for work, token := range s.owns(n) {
+			if other := owner[work]; other != nil {
+				s.broken = append(s.broken, fmt.Sprintf("%v: %s is owned by %s and %s", s.now, work, other.name, n.name))
+			}
+			if owner[work] = n; token < s.tokens[work] {
+				s.broken = append(s.broken, fmt.Sprintf("%v: %s owns %s by token %d after %d", s.now, n.name, work, token, s.tokens[work]))
+			}
+			s.tokens[work] = max(s.tokens[work], token)
+		}
+	}
+}
+
 // judge holds what a node acts on against all others: from the epochs alone, by the table in contradict.go.
 func (s *fleetSim) judge(n *simNode) {
 	a := s.acts(n)
@@ -420,6 +467,7 @@
 				return
 			}
 			n.pausedUntil = 0
+			s.judgeOwners()
 			s.judge(n) // before it has done anything
 			late := n.late
 			n.late = nil
@@ -492,6 +540,17 @@
 	if first.Pending != 0 {
 		s.broken = append(s.broken, fmt.Sprintf("version %d still waits", first.Pending))
 	}
+	for _, work := range s.nodes[0].voter.Works {
+		owners := 0
+		for _, id := range s.voters {
+			if _, owns := s.owns(s.nodes[id-1])[work]; owns {
+				owners++
+			}
+		}
+		if owners != 1 {
+			s.broken = append(s.broken, fmt.Sprintf("%s has %d owners", work, owners))
+		}
+	}
 	for _, n := range s.nodes {
 		if a := s.acts(n); a.Number != first.Number || a.Pending != 0 {
 			s.broken = append(s.broken, fmt.Sprintf("%s acts on %v, not on %d", n.name, a, first.Number))
@@ -505,7 +564,7 @@
 	if testing.Short() || raced { // the whole number is played without the detector
 		seeds = min(seeds, 20)
 	}
-	versions, changes := 0, 0
+	versions, changes, takeovers := 0, 0, 0
 	for seed := range uint64(seeds) {
 		cryptotest.SetGlobalRandom(t, seed)
 		s := play(t, seed, 3+2*int(seed%3), int(seed%5), nothing)
@@ -513,17 +572,17 @@
 		if len(s.broken) > 0 {
 			t.Fatalf("seed %d: %d findings, first: %s", seed, len(s.broken), s.broken[0])
 		}
-		versions, changes = versions+s.versions, changes+s.changes
+		versions, changes, takeovers = versions+s.versions, changes+s.changes, takeovers+s.takeovers
 	}
-	if versions < seeds || changes < 4*seeds {
-		t.Errorf("%d versions, %d changes: too few to say anything", versions, changes)
+	if versions < seeds || changes < 4*seeds || takeovers < 4*seeds {
+		t.Errorf("%d versions, %d changes, %d sets of works: too few to say anything", versions, changes, takeovers)
 	}
-	t.Logf("%d seeds: %d versions, %d changes over of a node, no contradiction", seeds, versions, changes)
+	t.Logf("%d seeds: %d versions, %d changes over of a node, no contradiction; %d sets of works taken, never two owners", seeds, versions, changes, takeovers)
 }
 
 // Each guard that is left out is found by the same runs.
 func TestGuardsInVirtualTime(t *testing.T) {
-	for _, out := range []without{leaseCheck, atWake, waiting, quietStart, drift, fromAnswer, confirmed, majority} {
+	for _, out := range []without{leaseCheck, atWake, waiting, quietStart, drift, fromAnswer, confirmed, majority, ownLease, freed} {
 		t.Run(string(out), func(t *testing.T) {
 			for seed := range uint64(400) {
 				cryptotest.SetGlobalRandom(t, seed)
--- a/internal/fleet/agree/voter.go
+++ b/internal/fleet/agree/voter.go
@@ -59,7 +59,11 @@
 // Voter is a voter of the log. It is pure: what comes and the time are given to it, what it wants done is
 // taken from it. It is not safe for concurrent use.
 type Voter struct {
-	ID      uint64
+	ID uint64
+	// Works are to have owners among Eligible.
+	Works    []string
+	Eligible []string
+
 	node    *raft.RawNode
 	storage *raft.MemoryStorage
 	conf    *pb.ConfState
@@ -68,6 +72,8 @@
 	said    int // ticks since it last said that it cleared the version that waits
 	saidOf  uint64
 	commit  uint64
+	ticks   int
+	told    map[string]told
 }
 
 // NewVoter starts a voter from its disk.
@@ -161,7 +167,11 @@
 func (v *Voter) Tick(now time.Duration) {
 	v.node.Tick()
 	v.said++
+	v.ticks++
 	v.Clear(now)
+	if v.state.Index >= v.commit {
+		v.works(now)
+	}
 }
 
 // Clear says that nobody whom this voter granted a lease acts on what came before the version that waits, once that is
