--- a/cmd/yokestall/versions_test.go
+++ b/cmd/yokestall/versions_test.go
@@ -64,8 +64,8 @@
 		t.Log(o.Script)
 		showLogs(t, dir)
 	}
-	t.Logf("%d versions, in force after %v at half of them and %v at most; contradiction %v (%d attempts) of %v; %d asked, %d served, %d refused, %d failed; %d late at servers that were out",
-		o.Published, o.Times[len(o.Times)/2], o.Times[len(o.Times)-1], o.Longest, o.Count, o.Bound, o.Asked, o.Served, o.Refused, o.Failed, len(o.Found))
+	t.Logf("%d versions, in force after %v at half of them and %v at most; contradiction %v (%d attempts) of %v; %d owners; %d asked, %d served, %d refused, %d failed; %d late at servers that were out",
+		o.Published, o.Times[len(o.Times)/2], o.Times[len(o.Times)-1], o.Longest, o.Count, o.Bound, o.Owners, o.Asked, o.Served, o.Refused, o.Failed, len(o.Found))
 }
 
 func showLogs(t *testing.T, dir string) {
--- a/internal/app/running.go
+++ b/internal/app/running.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -124,6 +125,9 @@
 		pool.Update(true, nil)
 		stop()
 	})
+	if part := math.Float64frombits(a.part.Load()); part != 1 {
+		c.Part(part)
+	}
 	t := &tier{cluster: c, pool: pool, sent: sent}
 	r.all[k] = t
 	return t, nil
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -29,7 +29,7 @@
 	f := &fleetCommands{out: out, log: log}
 	c.PersistentFlags().StringVarP(&f.config, "config", "c", "", "the `file` of a node, whose [fleet.agree] names the fleet, its voters and the keys")
 	c.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON")
-	c.AddCommand(fleetDiff(out), f.init(), f.status(), f.publish(), f.rollback(), f.history(), f.voters())
+	c.AddCommand(fleetDiff(out), f.init(), f.status(), f.publish(), f.rollback(), f.history(), f.voters(), f.owners())
 	return c
 }
 
@@ -339,6 +339,44 @@
 	}
 }
 
+func (f *fleetCommands) owners() *cobra.Command {
+	return &cobra.Command{
+		Use:   "owners",
+		Short: "Say which node does each work on behalf of the fleet, by which token, and for how long its lease lasts",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.with(func(c *peers.Client) error {
+				s, err := c.Newest(cmd.Context())
+				if err != nil {
+					return err
+				}
+				list := s.Owners
+				for _, a := range c.Status(cmd.Context()) { // the owner itself knows its lease
+					for i := range list {
+						if a.Status != nil && i < len(a.Status.Owners) && a.Status.Owners[i].Acts && a.Status.Owners[i].Token == list[i].Token {
+							list[i] = a.Status.Owners[i]
+						}
+					}
+				}
+				return f.print(list, func() {
+					for _, o := range list {
+						switch {
+						case o.Owner == "":
+							fmt.Fprintf(f.out, "%s: nobody; each node has an equal part\n", o.Work)
+						case o.Leaving != "":
+							fmt.Fprintf(f.out, "%s: %s by token %d, and %s once that one can't act any more\n", o.Work, o.Owner, o.Token, o.Leaving)
+						case o.Acts:
+							fmt.Fprintf(f.out, "%s: %s by token %d, for %d ms\n", o.Work, o.Owner, o.Token, o.LeftMs)
+						default:
+							fmt.Fprintf(f.out, "%s: %s by token %d, without a lease at present\n", o.Work, o.Owner, o.Token)
+						}
+					}
+				})
+			})
+		},
+	}
+}
+
 func (f *fleetCommands) voters() *cobra.Command {
 	return &cobra.Command{
 		Use:   "voters",
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -266,18 +266,28 @@
 
 // Left is how long the node may go on acting on rules if it hears nothing more.
 func (l *Lease) Left(now time.Duration, r Rules) time.Duration {
+	if r.Number == 0 {
+		return 0
+	}
+	return l.left(l.grants, now, r.Epoch)
+}
+
+// OwnLeft is how long it may go on acting as the owner of its works.
+func (l *Lease) OwnLeft(now time.Duration) time.Duration { return l.left(l.sets, now, l.set) }
+
+func (l *Lease) left(grants map[uint64][]lent, now time.Duration, upto uint64) time.Duration {
 	var ends []time.Duration
-	for _, list := range l.grants {
+	for _, list := range grants {
 		best := time.Duration(0)
 		for _, x := range list {
-			if x.upto <= r.Epoch {
+			if x.upto <= upto {
 				best = max(best, x.end)
 			}
 		}
 		ends = append(ends, best)
 	}
 	slices.Sort(ends)
-	if need := l.voters/2 + 1; r.Number != 0 && len(ends) >= need {
+	if need := l.voters/2 + 1; len(ends) >= need {
 		return max(0, ends[len(ends)-need]-now)
 	}
 	return 0
--- a/internal/fleet/owner/share.go
+++ b/internal/fleet/owner/share.go
@@ -85,9 +85,10 @@
 	return &Share{terms: t, asked: map[uint64]time.Duration{}, booked: []loan{{1, now + t.most(t.Pledge)}}}
 }
 
-// Part gives the part of the whole that the node may use at this moment; home is its own part. That may change at all nodes together, as
-// versions do: a node lends no more than its part was, and one that comes with more nodes starts with nothing, until what was dealt is over.
-func (s *Share) Part(now time.Duration, home float64) float64 {
+// Part gives the part of the whole that the node may use from now until a time, at which it asks again; home is its own part. That may
+// change at all nodes together, as versions do: a node lends no more than its part was, and one that comes with more nodes starts with
+// nothing, until what was dealt is over.
+func (s *Share) Part(now, until time.Duration, home float64) float64 {
 	own := home
 	for _, l := range s.booked {
 		if now < l.until {
@@ -96,7 +97,7 @@
 	}
 	part := max(0, own)
 	for _, l := range s.slices {
-		if now < l.until {
+		if until < l.until {
 			part += l.part
 		}
 	}
--- a/internal/fleet/owner/share_test.go
+++ b/internal/fleet/owner/share_test.go
@@ -192,7 +192,7 @@
 		if n.down || n.paused > s.now {
 			continue
 		}
-		part := n.share.Part(n.clock(s.now), s.homes[n.epoch])
+		part := n.share.Part(n.clock(s.now), n.clock(s.now), s.homes[n.epoch])
 		s.largest = max(s.largest, part/s.homes[n.epoch])
 		sum += part
 	}
@@ -327,7 +327,7 @@
 		if slice > pledge || pledge-slice > simTerms.Pledge {
 			t.Errorf("lender %.1f, owner %.1f, borrower %.1f: the slice ends %v, the pledge %v", lenderRate, ownerRate, borrowerRate, slice-time.Hour, pledge-time.Hour)
 		}
-		if part := lender.Part(clock(lenderRate, at), 0.5) + borrower.Part(clock(borrowerRate, at), 0.5); part > 1 {
+		if part := lender.Part(clock(lenderRate, at), clock(lenderRate, at), 0.5) + borrower.Part(clock(borrowerRate, at), clock(borrowerRate, at), 0.5); part > 1 {
 			t.Errorf("%.3f of the whole", part)
 		}
 		if borrower.Dealt(0, Deal{Token: 0}) {
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -17,6 +17,7 @@
 	"yokestall/internal/config"
 	"yokestall/internal/files"
 	"yokestall/internal/fleet/agree"
+	"yokestall/internal/fleet/owner"
 )
 
 // Client speaks to a fleet's voters on behalf of an operator.
@@ -107,6 +108,15 @@
 	return newest, nil
 }
 
+// Probe asks a voter, by its place, to deal to nobody: the token by which it does, 0 where it doesn't own the work.
+func (c *Client) Probe(ctx context.Context, at int) (token uint64, err error) {
+	r, err := call[TradeReply](ctx, c.conns[at], "Trade", owner.Trade{Node: "probe", Life: "probe"})
+	if err != nil || r.Deal == nil {
+		return 0, err
+	}
+	return r.Deal.Token, nil
+}
+
 // NewID gives an id for a publish: the same one again is the same publish.
 func NewID() string {
 	b := make([]byte, 16)
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -41,6 +41,10 @@
 	Parse func(list []config.File) (*agree.Version, error)
 	// Extend is Parse for the files of a version that was read and changes of lists beside them; nil: all is read anew.
 	Extend func(v *agree.Version, changes []config.File) (*agree.Version, error)
+	// Demand counts the requests that the program has decided, and Part sets how much of a cold server's budget is this node's, as a
+	// multiple of an equal part; nil: nothing is lent.
+	Demand func() int64
+	Part   func(part float64)
 	// Take has the program act on something; what it took before is over when it returns.
 	Take func(a agree.Acting) error
 }
@@ -75,6 +79,9 @@
 	cannot map[uint64]string
 	coming map[uint64]bool
 	known  map[uint64]*agree.Manifest // of those held
+
+	works ownership
+	nodes atomic.Int64 // of the rules that are acted on
 }
 
 // acting is what the program acts on, and until when on the node's clock.
@@ -175,8 +182,14 @@
 	if id.Fleet != n.Fleet || id.ID != own || !slices.Equal(id.Voters, ids(n.Voters)) {
 		return fmt.Errorf("%s: the store is of the voter %s of the fleet %q, among others: %s", n.Dir, id.Name, id.Fleet, "the configuration names another, or other voters")
 	}
-	n.voter, err = agree.NewVoter(n.Clock(), own, n.Terms, disk)
-	return err
+	if n.voter, err = agree.NewVoter(n.Clock(), own, n.Terms, disk); err != nil {
+		return err
+	}
+	n.voter.Works = works()
+	for _, v := range n.Voters {
+		n.voter.Eligible = append(n.voter.Eligible, v.Name)
+	}
+	return nil
 }
 
 // Run has the node take part until ctx ends.
@@ -197,6 +210,9 @@
 		n.run.Go(n.attendSelf)
 	}
 	n.run.Go(n.takes)
+	if n.Part != nil {
+		n.run.Go(n.trades)
+	}
 	n.run.Wait()
 }
 
@@ -300,7 +316,7 @@
 			return err
 		}
 	}
-	if n.voter.State().Facts() != before {
+	if now := n.voter.State(); now.Facts() != before {
 		close(n.changed)
 		n.changed = make(chan struct{})
 	}
--- a/internal/fleet/peers/serve.go
+++ b/internal/fleet/peers/serve.go
@@ -337,6 +337,9 @@
 			out.LeftMs = max(0, left).Milliseconds()
 		}
 	}
+	if s := n.state(); s != nil {
+		out.Owners = n.owners(s)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.broken != nil {
--- a/internal/fleet/peers/take.go
+++ b/internal/fleet/peers/take.go
@@ -260,6 +260,7 @@
 		case <-n.kick:
 		case <-t.C:
 		}
+		n.takeSet()
 		n.leaseMu.Lock()
 		now := n.Clock()
 		want, facts := n.lease.Want(now), n.lease.Facts()
@@ -317,6 +318,7 @@
 		}
 		return
 	}
+	n.nodes.Store(int64(a.Program.Nodes))
 	n.leaseMu.Lock()
 	n.lease.Took(r)
 	n.acting.Store(&acting{rules: r, until: n.until(r)})
--- a/internal/fleet/peers/wire.go
+++ b/internal/fleet/peers/wire.go
@@ -84,6 +84,7 @@
 	Nodes   []string         `json:"nodes,omitempty"` // that this voter has granted leases
 	History []agree.Manifest `json:"history,omitempty"`
 	Store   string           `json:"store,omitempty"` // what is wrong with it
+	Owners  []OwnerStatus    `json:"owners,omitempty"`
 }
 
 func pack(v any) (*wrapperspb.BytesValue, error) {
@@ -152,7 +153,7 @@
 		ServiceName: service, HandlerType: (*any)(nil),
 		Methods: []grpc.MethodDesc{
 			method("Describe", (*Node).describe), method("Fetch", (*Node).fetch), method("Have", (*Node).have),
-			method("Publish", (*Node).publish), method("Refuse", (*Node).refuse), method("Status", (*Node).status),
+			method("Publish", (*Node).publish), method("Refuse", (*Node).refuse), method("Status", (*Node).status), method("Trade", (*Node).trade),
 		},
 		Streams: []grpc.StreamDesc{
 			stream("Carry", true, false, (*Node).carry), stream("Attend", true, true, (*Node).attend), stream("Put", true, false, (*Node).put),
--- a/internal/lab/versions.go
+++ b/internal/lab/versions.go
@@ -50,7 +50,9 @@
 	Asked, Served, Refused,
 	Failed int
 	fleet.Contradiction
-	Found []fleet.Finding
+	Owners  int           // of the cold budget, one after the other
+	NoOwner time.Duration // longest time from the last word of one to the first of the next
+	Found   []fleet.Finding
 }
 
 const (
@@ -234,6 +236,9 @@
 	defer stop()
 	var run sync.WaitGroup
 	run.Go(func() { r.load(loaded) })
+	for i := range r.Voters {
+		run.Go(func() { r.probe(loaded, c, i) })
+	}
 	played := make(chan error, 1)
 	go func() { played <- r.rig.Play(ctx, began, r.out.Script) }()
 	last := 1
@@ -377,6 +382,36 @@
 	}
 }
 
+// probe asks a voter again and again whether it is the owner of the cold budget.
+func (r *versionRun) probe(ctx context.Context, c *peers.Client, at int) {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	open := make(chan struct{}, 64)
+	var run sync.WaitGroup
+	defer run.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		select {
+		case open <- struct{}{}:
+		default:
+			continue
+		}
+		run.Go(func() {
+			defer func() { <-open }()
+			one, stop := context.WithTimeout(ctx, 4*time.Second) // an answer of a process that woke counts
+			defer stop()
+			asked := r.rig.Record.Since()
+			if token, err := c.Probe(one, at); err == nil && token > 0 {
+				r.rig.Record.Add(fleet.Event{What: fleet.Owned, Who: at, By: asked, Stamp: int(token)})
+			}
+		})
+	}
+}
+
 // settled waits until each process has served by the last version what is not safe.
 func (r *versionRun) settled(ctx context.Context, last int) error {
 	until := time.Now().Add(versionSettle)
@@ -404,7 +439,11 @@
 	o.Bound = r.Terms.Bound()
 	o.Asked, o.Served, o.Refused, o.Failed = int(r.asks.Load()), int(r.served.Load()), int(r.refused.Load()), int(r.failed.Load())
 	slices.Sort(o.Times)
-	o.Contradiction, o.Found = fleet.JudgeVersions(r.rig.Record.Events(), fleet.VersionRules{
+	events := r.rig.Record.Events()
+	var owners []fleet.Finding
+	o.Owners, o.NoOwner, owners = fleet.JudgeOwners(events)
+	defer func() { o.Found = append(o.Found, owners...) }()
+	o.Contradiction, o.Found = fleet.JudgeVersions(events, fleet.VersionRules{
 		Safe: []bool{true, false, false}, Unsafe: []bool{false, false, true}, Out: r.isOut, Grace: 500 * time.Millisecond, Slack: versionSlack,
 	})
 }
--- a/internal/standin/fleet/record.go
+++ b/internal/standin/fleet/record.go
@@ -19,6 +19,7 @@
 	Ran                  // and took effect
 	Fell                 // server Who was pushed over
 	Told                 // word that server Who drains (Over: serves again) was given to all processes
+	Owned                // process Who, asked at By, answered as the owner of a work, by token Stamp
 	Faulted              // a fault of process Who began or ended
 )
 
--- a/internal/standin/fleet/versions.go
+++ b/internal/standin/fleet/versions.go
@@ -74,3 +74,26 @@
 	}
 	return c, found
 }
+
+// JudgeOwners reads who answered as the owner of a work: nobody may who was asked after an answer by a higher token had come. It gives how many
+// owners there were, one after the other, and the longest time between the last answer of one and the first of the next.
+func JudgeOwners(events []Event) (owners int, longest time.Duration, found []Finding) {
+	var highest int
+	var since, last time.Duration // when the highest token was heard of first, and when any owner was heard last
+	for i := range events {
+		e := &events[i]
+		switch {
+		case e.What != Owned:
+		case e.Stamp < highest && e.By > since:
+			found = append(found, Finding{Rule: fmt.Sprintf("an owner by token %d, asked %v after one by %d had answered", e.Stamp, e.By-since, highest), At: e.At, Who: e.Who})
+		case e.Stamp > highest:
+			if owners++; owners > 1 {
+				longest = max(longest, e.At-last)
+			}
+			highest, since, last = e.Stamp, e.At, e.At
+		default:
+			last = e.At
+		}
+	}
+	return owners, longest, found
+}
