--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -47,6 +47,7 @@
 	nodes  []*one
 	client *Client
 	keys   []*tlskeys.Store // by node; nil: clear text
+	with   func(i int, c *Config)
 }
 
 type one struct {
@@ -64,7 +65,12 @@
 }
 
 func newGroup(t testing.TB, voters, followers int, keys ...*tlskeys.Store) *group {
-	g := &group{t: t, dir: t.TempDir(), keys: keys}
+	return newGroupOf(t, voters, followers, func(int, *Config) {}, keys...)
+}
+
+// newGroupOf is newGroup with something done to each node's configuration.
+func newGroupOf(t testing.TB, voters, followers int, with func(i int, c *Config), keys ...*tlskeys.Store) *group {
+	g := &group{t: t, dir: t.TempDir(), keys: keys, with: with}
 	for i := range voters + followers {
 		n := &one{name: fmt.Sprint("n", i), moved: make(chan struct{}, 100)}
 		if i < voters {
@@ -86,12 +92,12 @@
 	for i := range g.nodes {
 		g.start(i)
 	}
-	var with *tls.Config
+	var show *tls.Config
 	if len(keys) > 0 {
-		with = keys[0].Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"})
+		show = keys[0].Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"})
 	}
 	var err error
-	if g.client, err = NewClient("f", g.voters, with); err != nil {
+	if g.client, err = NewClient("f", g.voters, show); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
@@ -150,6 +156,7 @@
 		c.ServerTLS = k.Server(tlskeys.Clients{Roots: "fleet", Require: true}, "h2")
 		c.ClientTLS = k.Client(tlskeys.Servers{Roots: "fleet", Certificate: "node"})
 	}
+	g.with(i, &c)
 	return c
 }
 
