Carry out releases: one owner at a time takes servers out and back in waves

The log has the release and where it stands; each step takes effect by a version of its own id, made from the one in force, so that it is one version whoever publishes it, an owner that wakes late too. yokestall release FILE, status, pause, resume, abort. A floor that can't be kept is refused before the first step. Tested through its owner's death: six versions, each once, in order.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,7 +8,6 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
-	"math"
 	"net/http"
 	"reflect"
 	"sync"
@@ -48,9 +47,6 @@
 	state   atomic.Pointer[state]
 	retired sync.WaitGroup // clusters that run on without a place in the state
 
-	part    atomic.Uint64 // bits of the multiple of an equal part of cold servers' budgets that is this node's
-	decided atomic.Int64  // requests that got a destination
-
 	missing sync.Map // names of clusters that routes lead to and nobody defines, of this version
 }
 
@@ -85,7 +81,6 @@
 // New starts an app on a first version. Close ends it.
 func New(first *files.Snapshot, o Options) (*App, error) {
 	a := &App{Options: o, clock: engine.NewClock()}
-	a.part.Store(math.Float64bits(1))
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	if set := first.Program.Repeats; set.Entries > 0 {
 		a.once = once.New(repeat.Limits{
@@ -279,19 +274,6 @@
 	return int(h.Sum32() >> 1)
 }
 
-// Decided counts the requests that got a destination.
-func (a *App) Decided() int64 { return a.decided.Load() }
-
-// SetPart sets how much of cold servers' budgets is this node's, as a multiple of an equal part.
-func (a *App) SetPart(part float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.part.Store(math.Float64bits(part))
-	for _, r := range a.state.Load().clusters {
-		r.each(func(t *tier) { t.cluster.Part(part) })
-	}
-}
-
 // TakeClusters puts other versions of clusters in force that are there already, at the
 // cost of these alone. False, with nothing done, if one of them is not there.
 func (a *App) TakeClusters(delivered time.Time, changed []*cluster.Cluster) bool {
@@ -358,7 +340,6 @@
 		MaxAttempts: m.Route.MaxAttempts, PerTry: m.Route.PerTry, Certified: s.byCert,
 		Pick: m.Route.Processor == "pick" || m.Route.Processor == "" && s.program.ExtProc.Pick,
 	}
-	a.decided.Add(1)
 	if a.May != nil {
 		out.Cluster = guarded{to, a.may(s, c.Name), again}
 	}
--- a/internal/app/running.go
+++ b/internal/app/running.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -125,9 +124,6 @@
 		pool.Update(true, nil)
 		stop()
 	})
-	if part := math.Float64frombits(a.part.Load()); part != 1 {
-		c.Part(part)
-	}
 	t := &tier{cluster: c, pool: pool, sent: sent}
 	r.all[k] = t
 	return t, nil
--- a/internal/cli/agree.go
+++ b/internal/cli/agree.go
@@ -81,7 +81,6 @@
 		return nil, nil, nil, err
 	}
 	source = app.NewAgreed(a, p)
-	c.Demand, c.Part = a.Decided, a.SetPart
 	c.Parse, c.Extend, c.Take = source.Parse, source.Extend, source.Take
 	if m, err = join(c, p); err != nil {
 		a.Close()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,7 +39,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(logs)
-	root.AddCommand(serve(log), check(out), showDemo(out, log), showLab(out), showFleet(out, log), platformNode())
+	root.AddCommand(serve(log), check(out), showDemo(out, log), showLab(out), showFleet(out, log), showRelease(out, log), platformNode())
 	return root
 }
 
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -33,6 +34,7 @@
 	var seeds int
 	c.PersistentFlags().IntVar(&seeds, "seeds", 4, "play `N` seeds, from the file's own on")
 	var peers bool
+	var deal time.Duration
 	var sheet string
 	var sizes sizes
 	run := &cobra.Command{
@@ -41,10 +43,11 @@
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, paths []string) error {
 			return each(paths, func(path string) (bool, error) {
-				return eachOf(sizes.all(), func(size lab.Size) (bool, error) { return play(out, path, size, seeds, peers, sheet) })
+				return eachOf(sizes.all(), func(size lab.Size) (bool, error) { return play(out, path, size, seeds, peers, sheet, deal) })
 			})
 		},
 	}
+	run.Flags().DurationVar(&deal, "deal", 0, "beside a fleet whose cold budget an owner deals out by demand, where nodes lend for so long")
 	run.Flags().BoolVar(&peers, "peers", false, "beside other ways to choose")
 	run.Flags().StringVar(&sheet, "csv", "", "write the service of each second to a `file`")
 	run.Flags().IntSliceVar(&sizes.nodes, "nodes", []int{0}, "with so many nodes, each in turn (0: as the file says)")
@@ -228,7 +231,7 @@
 
 // play plays one day; false: it does not hold what its file states. At a size of its own a day keeps the rules;
 // the service that a file states is for the file's own size.
-func play(out io.Writer, path string, size lab.Size, seeds int, peers bool, sheet string) (bool, error) {
+func play(out io.Writer, path string, size lab.Size, seeds int, peers bool, sheet string, deal time.Duration) (bool, error) {
 	e, err := experiment(path)
 	if err != nil {
 		return false, err
@@ -247,6 +250,15 @@
 		}
 		list = append(list, o)
 	}
+	if deal > 0 {
+		dealt := *e
+		dealt.Day.Deal = deal
+		o, err := lab.Run(&dealt, "dealt", fleetsim.Program, max(1, seeds))
+		if err != nil {
+			return false, err
+		}
+		list = append(list, o)
+	}
 	fmt.Fprintln(out, e.Summary())
 	lab.Table(out, list)
 	for _, o := range list[1:] {
--- /dev/null
+++ b/internal/cli/release.go
@@ -0,0 +1,137 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/config"
+	"yokestall/internal/fleet/agree"
+	"yokestall/internal/fleet/peers"
+)
+
+// releaseFile is a release as operators write it.
+type releaseFile struct {
+	Cluster string          `toml:"cluster"`
+	Servers []string        `toml:"servers"`
+	AtOnce  int             `toml:"at_once"`
+	Waves   [][]string      `toml:"waves"`
+	Floor   float64         `toml:"floor"`
+	Drain   config.Duration `toml:"drain"`
+	Away    config.Duration `toml:"away"`
+	Warm    config.Duration `toml:"warm"`
+}
+
+// parseRelease reads a release's file.
+func parseRelease(name string, text []byte) (*agree.Release, error) {
+	f := releaseFile{AtOnce: 1, Floor: 0.5}
+	if err := config.Decode(name, text, &f); err != nil {
+		return nil, err
+	}
+	fail := func(field, what string) error {
+		return &cluster.Problem{Source: name, Field: field, Text: what}
+	}
+	if len(f.Waves) > 0 && len(f.Servers) > 0 {
+		return nil, fail("waves", "waves, or servers and at_once")
+	}
+	if f.AtOnce < 1 {
+		return nil, fail("at_once", fmt.Sprintf("%d is below 1", f.AtOnce))
+	}
+	r := &agree.Release{
+		ID: peers.NewID(), Cluster: f.Cluster, Waves: f.Waves, Floor: f.Floor, Drain: f.Drain.Duration, Away: f.Away.Duration, Warm: f.Warm.Duration,
+	}
+	for left := f.Servers; len(left) > 0; {
+		n := min(f.AtOnce, len(left))
+		r.Waves, left = append(r.Waves, left[:n]), left[n:]
+	}
+	if err := r.Check(); err != nil {
+		return nil, fail("", err.Error())
+	}
+	return r, nil
+}
+
+func showRelease(out io.Writer, log *slog.Logger) *cobra.Command {
+	f := &fleetCommands{out: out, log: log}
+	id := ""
+	c := &cobra.Command{
+		Use:   "release FILE",
+		Short: "Take a cluster's servers out and back in waves, on behalf of a fleet that agrees",
+		Long: "One node at a time carries it on; when that one dies another goes on where it stopped. It restarts nothing: between out and back\n" +
+			"there is time for who does. FILE names the cluster, its servers and how many at_once (or waves), a floor, and the times drain, away, warm.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			r, err := parseRelease(args[0], text)
+			if err != nil {
+				return err
+			}
+			if id != "" {
+				r.ID = id
+			}
+			return f.control(cmd, peers.Control{Begin: r})
+		},
+	}
+	c.Flags().StringVar(&id, "id", "", "of an earlier try: the same id again is the same release")
+	c.PersistentFlags().StringVarP(&f.config, "config", "c", "", "the `file` of a node, whose [fleet.agree] names the fleet, its voters and the keys")
+	c.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON")
+	for _, w := range []struct{ word, short string }{
+		{"status", "Say how the latest release stands"}, {"pause", "Have the release begin nothing new"},
+		{"resume", "Have it go on"}, {"abort", "Give the present wave back and end the release"},
+	} {
+		why := ""
+		sub := &cobra.Command{Use: w.word, Short: w.short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			word := w.word
+			if word == "status" {
+				word = ""
+			}
+			return f.control(cmd, peers.Control{Word: word, Why: why})
+		}}
+		if w.word == "abort" {
+			sub.Flags().StringVar(&why, "why", "by hand", "for the record")
+		}
+		c.AddCommand(sub)
+	}
+	return c
+}
+
+func (f *fleetCommands) control(cmd *cobra.Command, in peers.Control) error {
+	return f.with(func(c *peers.Client) error {
+		r, err := c.Control(cmd.Context(), in)
+		if err != nil {
+			return err
+		}
+		if err := f.print(r, func() {
+			if r.Error != "" {
+				fmt.Fprintln(f.out, r.Error)
+			}
+			p := r.Progress
+			switch {
+			case p == nil:
+			case p.Ended != "":
+				fmt.Fprintf(f.out, "release %s: %s\n", p.Release.ID, p.Ended)
+			default:
+				fmt.Fprintf(f.out, "release %s: wave %d of %d, %v", p.Release.ID, p.Wave+1, len(p.Waves), p.Phase)
+				if p.Paused {
+					fmt.Fprint(f.out, ", paused")
+				}
+				if p.Stops != "" {
+					fmt.Fprint(f.out, ", ends with this wave: ", p.Stops)
+				}
+				fmt.Fprintln(f.out)
+			}
+		}); err != nil {
+			return err
+		}
+		if r.Error != "" {
+			return ErrReported
+		}
+		return nil
+	})
+}
--- a/internal/config/clusters.go
+++ b/internal/config/clusters.go
@@ -99,9 +99,14 @@
 }
 
 // FormatCluster writes a cluster's file, as ParseCluster reads it.
-func FormatCluster(c *cluster.Cluster) []byte {
+func FormatCluster(c *cluster.Cluster) []byte { return formatCluster(c, "") }
+
+// FormatChange writes a change of a list that puts these servers there, as ParseChange reads it.
+func FormatChange(c *cluster.Cluster) []byte { return formatCluster(c, "change = true\n") }
+
+func formatCluster(c *cluster.Cluster, more string) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "[cluster]\nname = %q\n", c.Name)
+	fmt.Fprintf(&b, "[cluster]\nname = %q\n%s", c.Name, more)
 	if c.Empty {
 		b.WriteString("no_servers = \"on purpose\"\n")
 	}
--- a/internal/fleet/agree/log.go
+++ b/internal/fleet/agree/log.go
@@ -49,6 +49,8 @@
 	Refuse  *Refuse   `json:"refuse,omitempty"`
 	Own     *Own      `json:"own,omitempty"`
 	Free    *Free     `json:"free,omitempty"`
+	Release *Release  `json:"release,omitempty"`
+	Move    *Move     `json:"move,omitempty"`
 }
 
 // Clear is a voter's word that nobody whom it granted a lease acts on what came before an epoch any more.
@@ -78,6 +80,8 @@
 
 	Works map[string]Ownership `json:"works,omitempty"`
 	Sets  map[string]uint64    `json:"sets,omitempty"` // see Set
+
+	Release *Progress `json:"release,omitempty"` // the latest; nil: there was none
 }
 
 // Upto is the epoch up to which a lease that is granted now goes.
@@ -156,6 +160,10 @@
 		s.own(index, e.Own)
 	case e.Free != nil:
 		s.free(index, e.Free, voters)
+	case e.Release != nil:
+		s.begin(e.Release)
+	case e.Move != nil:
+		s.move(e.Move)
 	}
 	return nil
 }
@@ -240,7 +248,7 @@
 		return nil, err
 	}
 	set := 0
-	for _, there := range []bool{e.Propose != nil, e.Clear != nil, e.Refuse != nil, e.Own != nil, e.Free != nil} {
+	for _, there := range []bool{e.Propose != nil, e.Clear != nil, e.Refuse != nil, e.Own != nil, e.Free != nil, e.Release != nil, e.Move != nil} {
 		if there {
 			set++
 		}
@@ -251,6 +259,9 @@
 	if m := e.Propose; m != nil {
 		return e, m.Check()
 	}
+	if e.Release != nil {
+		return e, e.Release.Check()
+	}
 	if o := e.Own; o != nil && (o.Work == "" || o.Node == "" || len(o.Work) > MaxName || len(o.Node) > MaxName || len(o.Life) > MaxName) {
 		return nil, fmt.Errorf("own: a work, a node and a life of at most %d bytes", MaxName)
 	}
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -17,7 +17,6 @@
 	"yokestall/internal/config"
 	"yokestall/internal/files"
 	"yokestall/internal/fleet/agree"
-	"yokestall/internal/fleet/owner"
 )
 
 // Client speaks to a fleet's voters on behalf of an operator.
@@ -108,13 +107,13 @@
 	return newest, nil
 }
 
-// Probe asks a voter, by its place, to deal to nobody: the token by which it does, 0 where it doesn't own the work.
-func (c *Client) Probe(ctx context.Context, at int) (token uint64, err error) {
-	r, err := call[TradeReply](ctx, c.conns[at], "Trade", owner.Trade{Node: "probe", Life: "probe"})
-	if err != nil || r.Deal == nil {
+// Probe asks a voter, by its place, for the token by which it owns a work at this moment; 0: it doesn't.
+func (c *Client) Probe(ctx context.Context, at int, work string) (token uint64, err error) {
+	r, err := call[Owned](ctx, c.conns[at], "Owns", Owned{Work: work})
+	if err != nil {
 		return 0, err
 	}
-	return r.Deal.Token, nil
+	return r.Token, nil
 }
 
 // NewID gives an id for a publish: the same one again is the same publish.
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -41,10 +41,6 @@
 	Parse func(list []config.File) (*agree.Version, error)
 	// Extend is Parse for the files of a version that was read and changes of lists beside them; nil: all is read anew.
 	Extend func(v *agree.Version, changes []config.File) (*agree.Version, error)
-	// Demand counts the requests that the program has decided, and Part sets how much of a cold server's budget is this node's, as a
-	// multiple of an equal part; nil: nothing is lent.
-	Demand func() int64
-	Part   func(part float64)
 	// Take has the program act on something; what it took before is over when it returns.
 	Take func(a agree.Acting) error
 }
@@ -81,7 +77,6 @@
 	known  map[uint64]*agree.Manifest // of those held
 
 	works ownership
-	nodes atomic.Int64 // of the rules that are acted on
 }
 
 // acting is what the program acts on, and until when on the node's clock.
@@ -210,8 +205,8 @@
 		n.run.Go(n.attendSelf)
 	}
 	n.run.Go(n.takes)
-	if n.Part != nil {
-		n.run.Go(n.trades)
+	if n.voter != nil {
+		n.run.Go(n.releases)
 	}
 	n.run.Wait()
 }
--- a/internal/fleet/peers/owner.go
+++ b/internal/fleet/peers/owner.go
@@ -5,28 +5,19 @@
 	"sync"
 
 	"yokestall/internal/fleet/agree"
-	"yokestall/internal/fleet/owner"
 )
 
-// ColdWork is the fleet's budget for cold servers, which its owner deals out by demand.
-const ColdWork = "cold-budget"
+// ReleaseWork takes servers out and back in waves.
+const ReleaseWork = "release"
 
 // works are those that the fleet gives owners. Owners are voters: they are asked by all others already.
-func works() []string { return []string{ColdWork} }
+func works() []string { return []string{ReleaseWork} }
 
-// ownership is what this process owns, and the dealing that comes with it.
+// ownership is what this process owns.
 type ownership struct {
-	mu     sync.Mutex
-	owned  map[string]uint64 // tokens by work, of the set that was taken last
-	set    uint64
-	dealer *owner.Dealer
-	token  uint64 // the dealer's
-}
-
-// TradeReply is a voter's answer to a trade: a deal, or who should be asked.
-type TradeReply struct {
-	Deal  *owner.Deal `json:"deal,omitempty"`
-	Owner string      `json:"owner,omitempty"` // as this voter knows it; "": nobody
+	mu    sync.Mutex
+	owned map[string]uint64 // tokens by work, of the set that was taken last
+	set   uint64
 }
 
 // takeSet takes up the works that the log says are this process's, and drops those that are no more.
@@ -64,117 +55,18 @@
 	return token, n.lease.MayOwn(n.Clock())
 }
 
-// trade deals, as the owner of the cold budget.
-func (n *Node) trade(_ context.Context, t *owner.Trade) (*TradeReply, error) {
-	token, ok := n.Owns(ColdWork)
-	if !ok {
-		s := n.state()
-		if s == nil {
-			return nil, errNoVoter
-		}
-		return &TradeReply{Owner: s.Works[ColdWork].Owner}, nil
-	}
-	n.works.mu.Lock()
-	if n.works.token != token {
-		n.works.dealer, n.works.token = owner.NewDealer(token, n.shareTerms()), token
-	}
-	d := n.works.dealer.Trade(n.Clock(), *t)
-	n.works.mu.Unlock()
-	if again, ok := n.Owns(ColdWork); !ok || again != token { // right before the effect
-		return &TradeReply{}, nil
-	}
-	return &TradeReply{Deal: &d}, nil
-}
-
-// shareTerms are those of lending: a pledge outlasts two leases, so that a takeover ends none.
-func (n *Node) shareTerms() owner.Terms {
-	return owner.Terms{Pledge: 2 * n.Terms.Lease, Drift: n.Terms.Drift}
+// Owned asks whether a node owns a work, and answers by which token; 0: it doesn't, or may not act.
+type Owned struct {
+	Work  string `json:"work"`
+	Token uint64 `json:"token"`
 }
 
-// demandKeep is the weight of what was known of the demand before.
-const demandKeep = 0.5
-
-// trades lends and borrows parts of the cold budget, until the node ends.
-func (n *Node) trades() {
-	terms := n.shareTerms()
-	share := owner.NewShare(n.Clock(), terms)
-	demand, count, at := 0.0, n.Demand(), n.Clock()
-	asked, told := "", -1.0
-	step := terms.Renew() / 4 // loans end between trades
-	for i := 0; n.ctx.Err() == nil; i++ {
-		n.pause(step)
-		now := n.Clock()
-		nodes := n.nodes.Load()
-		if nodes == 0 {
-			continue
-		}
-		home := 1 / float64(nodes)
-		if i%4 == 0 {
-			c := n.Demand()
-			demand = demandKeep*demand + (1-demandKeep)*float64(c-count)/(now-at).Seconds()
-			count, at = c, now
-			t := share.Trade(now, home, demand)
-			t.Node, t.Life = n.Name, n.life
-			if d := n.dealWithOwner(&asked, t); d != nil {
-				share.Dealt(n.Clock(), *d)
-			}
-		}
-		if part := share.Part(now, n.Clock()+2*step, home) * float64(nodes); part != told {
-			n.Part(part)
-			told = part
-		}
-	}
-}
-
-// dealWithOwner has the owner answer a trade; it is looked for among the voters, first where it was last.
-func (n *Node) dealWithOwner(last *string, t owner.Trade) *owner.Deal {
-	tried := map[string]bool{}
-	names := []string{*last}
-	for _, v := range n.Voters {
-		names = append(names, v.Name)
-	}
-	for len(names) > 0 {
-		name := names[0]
-		names = names[1:]
-		if name == "" || tried[name] {
-			continue
-		}
-		tried[name] = true
-		r := n.tradeWith(name, t)
-		if r == nil {
-			continue
-		}
-		if r.Deal != nil {
-			*last = name
-			return r.Deal
-		}
-		if r.Owner != "" {
-			names = append([]string{r.Owner}, names...)
-		}
-	}
-	*last = ""
-	return nil
-}
-
-func (n *Node) tradeWith(name string, t owner.Trade) *TradeReply {
-	ctx, stop := context.WithTimeout(n.ctx, n.shareTerms().Renew()/2)
-	defer stop()
-	if name == n.Name && n.votes() {
-		r, err := n.trade(ctx, &t)
-		if err != nil {
-			return nil
-		}
-		return r
-	}
-	c := n.conns[voterID(name)]
-	if c == nil {
-		return nil
-	}
-	r, err := call[TradeReply](ctx, c, "Trade", t)
-	if err != nil {
-		return nil
+func (n *Node) owns(_ context.Context, in *Owned) (*Owned, error) {
+	out := &Owned{Work: in.Work}
+	if token, ok := n.Owns(in.Work); ok {
+		out.Token = token
 	}
-	return r
+	return out, nil
 }
 
 // OwnerStatus is a work as a voter knows it.
--- /dev/null
+++ b/internal/fleet/peers/release.go
@@ -0,0 +1,266 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"yokestall/internal/cluster"
+	"yokestall/internal/config"
+	"yokestall/internal/fleet/agree"
+)
+
+// Control is an operator's word on releases: one to begin, or a word on the one that goes on.
+type Control struct {
+	Begin *agree.Release `json:"begin,omitempty"`
+	Word  string         `json:"word,omitempty"` // "pause", "resume", "abort"; "": how it stands
+	Why   string         `json:"why,omitempty"`
+}
+
+// Controlled is how the release stands.
+type Controlled struct {
+	Error    string          `json:"error,omitempty"`
+	Progress *agree.Progress `json:"progress,omitempty"`
+}
+
+const releaseLook = 50 * time.Millisecond // how often an owner looks whether a phase is over
+
+// control takes an operator's word.
+func (n *Node) control(ctx context.Context, in *Control) (*Controlled, error) {
+	s := n.state()
+	switch {
+	case s == nil:
+		return nil, errNoVoter
+	case in.Begin != nil:
+		if err := in.Begin.Check(); err != nil {
+			return &Controlled{Error: err.Error()}, nil
+		}
+		if p := s.Release; p != nil && p.Ended == "" && p.Release.ID != in.Begin.ID {
+			return &Controlled{Error: fmt.Sprintf("the release %s goes on", p.Release.ID), Progress: p}, nil
+		}
+		v, err := n.version(ctx, s, s.Number)
+		if err != nil {
+			return &Controlled{Error: err.Error()}, nil
+		}
+		if err := feasible(in.Begin, v.Clusters[in.Begin.Cluster]); err != nil {
+			return &Controlled{Error: err.Error()}, nil
+		}
+		return n.settles(ctx, &agree.Entry{Release: in.Begin}, func(p *agree.Progress) bool { return p != nil && p.Release.ID == in.Begin.ID })
+	case s.Release == nil || s.Release.Ended != "" && in.Word != "":
+		return &Controlled{Error: "no release goes on", Progress: s.Release}, nil
+	case in.Word == "":
+		return &Controlled{Progress: s.Release}, nil
+	case !slices.Contains([]string{"pause", "resume", "abort"}, in.Word):
+		return nil, status.Errorf(codes.InvalidArgument, "%q is no word on a release", in.Word)
+	}
+	return n.settles(ctx, &agree.Entry{Move: &agree.Move{ID: s.Release.Release.ID, Word: in.Word, Why: in.Why}}, func(p *agree.Progress) bool {
+		return p.Ended != "" || in.Word == "abort" && p.Stops != "" || in.Word != "abort" && p.Paused == (in.Word == "pause")
+	})
+}
+
+// settles proposes an entry until the log shows it.
+func (n *Node) settles(ctx context.Context, e *agree.Entry, there func(p *agree.Progress) bool) (*Controlled, error) {
+	ctx, stop := context.WithTimeout(ctx, publishFor)
+	defer stop()
+	again := time.NewTicker(time.Second)
+	defer again.Stop()
+	err := n.propose(e)
+	for {
+		s, changed := n.newRelease()
+		if there(s.Release) {
+			return &Controlled{Progress: s.Release}, nil
+		}
+		select {
+		case <-changed:
+		case <-again.C:
+			err = n.propose(e)
+		case <-ctx.Done():
+			return &Controlled{Error: fmt.Sprintf("it is not known whether it was taken up: %v", errors.Join(err, ctx.Err())), Progress: s.Release}, nil
+		}
+	}
+}
+
+// newRelease gives the state with a channel that is closed a little later.
+func (n *Node) newRelease() (*agree.State, <-chan struct{}) {
+	s, _ := n.newState()
+	later := make(chan struct{})
+	time.AfterFunc(publishPoll, func() { close(later) })
+	return s, later
+}
+
+// feasible tells why a release can't be begun: a server that isn't in use, or a floor that can't be kept.
+func feasible(r *agree.Release, c *cluster.Cluster) error {
+	if c == nil {
+		return fmt.Errorf("cluster: there is no %s in the version in force", r.Cluster)
+	}
+	serving := 0
+	for i := range c.Endpoints {
+		if c.Endpoints[i].Serves() {
+			serving++
+		}
+	}
+	for i, w := range r.Waves {
+		for _, id := range w {
+			if at := find(c, id); at < 0 || !c.Endpoints[at].Serves() {
+				return fmt.Errorf("waves: the %d. names %s, which is not in use in the version in force", i+1, id)
+			}
+		}
+		if left := serving - len(w); float64(left) < r.Floor*float64(serving) {
+			return fmt.Errorf("floor: with the %d. wave out %d of %d servers are in use, and %.0f %% are wanted", i+1, left, serving, 100*r.Floor)
+		}
+	}
+	return nil
+}
+
+func find(c *cluster.Cluster, id string) int {
+	at, ok := slices.BinarySearchFunc(c.Endpoints, id, func(e cluster.Endpoint, id string) int {
+		switch {
+		case e.ID < id:
+			return -1
+		case e.ID > id:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return -1
+	}
+	return at
+}
+
+// releases carries releases on while this node owns that work, until the node ends.
+func (n *Node) releases() {
+	var in agree.Progress
+	var since time.Duration
+	var token uint64
+	for n.ctx.Err() == nil {
+		n.pause(releaseLook)
+		now, ok := n.Owns(ReleaseWork)
+		s := n.state()
+		if !ok || s == nil || s.Release == nil || s.Release.Ended != "" {
+			token = 0
+			continue
+		}
+		p := s.Release
+		if now != token || p.Release.ID != in.Release.ID || p.Wave != in.Wave || p.Phase != in.Phase {
+			// A new owner counts a phase from when it took it over: longer than wanted, never shorter.
+			token, in, since = now, *p, n.Clock()
+		}
+		if over, err := n.phaseOver(s, p, since); err != nil {
+			n.Log.Error("a release stops", "release", p.Release.ID, "wave", p.Wave, "phase", p.Phase.String(), "err", err)
+			n.propose(&agree.Entry{Move: &agree.Move{ID: p.Release.ID, Word: "fail", Why: err.Error()}})
+		} else if over && n.still(token) {
+			n.propose(&agree.Entry{Move: &agree.Move{ID: p.Release.ID, Wave: p.Wave, Phase: p.Phase}})
+		}
+	}
+}
+
+// still tells whether this node owns releases by a token, right before something is done by it.
+func (n *Node) still(token uint64) bool {
+	now, ok := n.Owns(ReleaseWork)
+	return ok && now == token
+}
+
+// phaseOver does what a phase asks for, and tells whether it is over. The version that it publishes has the phase's own id, so that it is one
+// version whoever publishes it, an owner that wakes late too; and it is made from the version in force, or not taken.
+func (n *Node) phaseOver(s *agree.State, p *agree.Progress, since time.Duration) (bool, error) {
+	if p.Phase != agree.Taking && p.Phase != agree.Giving {
+		return !p.Paused && n.Clock()-since >= p.Length(), nil
+	}
+	if p.Paused && p.Phase == agree.Taking {
+		return false, nil
+	}
+	if m := s.Published(p.PublishID()); m != nil {
+		if m.Refused != "" {
+			return false, errors.New(m.Refused)
+		}
+		return s.Number >= m.Number && s.Pending != m.Number, nil
+	}
+	v, err := n.version(n.ctx, s, s.Number)
+	if err != nil {
+		return false, nil // its content is on its way
+	}
+	change, err := waveChange(v.Clusters[p.Cluster], p, time.Now())
+	if err != nil {
+		return false, err
+	}
+	if change == nil { // none of the wave is left to change
+		return true, nil
+	}
+	if !n.still(s.Works[ReleaseWork].Token) {
+		return false, nil
+	}
+	ctx, stop := context.WithTimeout(n.ctx, askFor)
+	defer stop()
+	c, err := n.self()
+	if err != nil {
+		return false, nil
+	}
+	defer c.Close()
+	_, err = c.Change(ctx, p.PublishID(), s.Number, *change)
+	if err != nil {
+		n.Log.Warn("a release's version is not taken yet", "id", p.PublishID(), "err", err)
+	}
+	return false, nil
+}
+
+// self is a client of the fleet, as an operator would have it.
+func (n *Node) self() (*Client, error) { return NewClient(n.Fleet, n.Voters, n.ClientTLS) }
+
+// waveChange is the change by which a phase takes effect: the wave's servers out, or back as started now. A server that left the list, or that was taken
+// out by hand, stays as it is; nil: there is nothing to change. Out with less than the floor left in use is an error.
+func waveChange(c *cluster.Cluster, p *agree.Progress, now time.Time) (*config.File, error) {
+	if c == nil {
+		return nil, fmt.Errorf("cluster %s is gone", p.Cluster)
+	}
+	serving := 0
+	for i := range c.Endpoints {
+		if c.Endpoints[i].Serves() {
+			serving++
+		}
+	}
+	out := cluster.Cluster{Name: c.Name}
+	for _, id := range p.Waves[p.Wave] {
+		at := find(c, id)
+		if at < 0 {
+			continue
+		}
+		e := c.Endpoints[at]
+		switch {
+		case p.Phase == agree.Taking && e.Serves():
+			e.Health = cluster.Draining
+		case p.Phase == agree.Giving && e.Health == cluster.Draining:
+			e.Health, e.Started = cluster.Healthy, now.UnixMilli()
+		default:
+			continue
+		}
+		out.Endpoints = append(out.Endpoints, e)
+	}
+	if len(out.Endpoints) == 0 {
+		return nil, nil
+	}
+	if left := serving - len(out.Endpoints); p.Phase == agree.Taking && float64(left) < p.Floor*float64(len(c.Endpoints)) {
+		return nil, fmt.Errorf("with the %d. wave out %d of %d servers are in use, and the floor is %.0f %%", p.Wave+1, left, len(c.Endpoints), 100*p.Floor)
+	}
+	return &config.File{Name: p.PublishID(), Text: config.FormatChange(&out)}, nil
+}
+
+// Control gives an operator's word to any voter that answers.
+func (c *Client) Control(ctx context.Context, in Control) (*Controlled, error) {
+	last := ErrMajority
+	for _, conn := range c.conns {
+		one, stop := context.WithTimeout(ctx, publishFor+askFor)
+		out, err := call[Controlled](one, conn, "Release", in)
+		stop()
+		if err == nil {
+			return out, nil
+		}
+		last = err
+	}
+	return nil, last
+}
--- /dev/null
+++ b/internal/fleet/peers/release_test.go
@@ -0,0 +1,143 @@
+package peers
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/internal/fleet/agree"
+	"yokestall/internal/testkit"
+)
+
+// ownerOf gives which voter may act as the owner of releases, -1 if none may, and by which token.
+func (g *group) ownerOf() (at int, token uint64) {
+	for i := range g.voters {
+		if n := g.nodes[i]; n.stop != nil {
+			if token, ok := n.node.Owns(ReleaseWork); ok {
+				return i, token
+			}
+		}
+	}
+	return -1, 0
+}
+
+func (g *group) control(in Control) *Controlled {
+	g.t.Helper()
+	var out *Controlled
+	testkit.Until(g.t, "an answer on the release", func() bool {
+		r, err := g.client.Control(g.patience(), in)
+		out = r
+		return err == nil
+	})
+	return out
+}
+
+// A release goes on through the death of its owner: each wave is out once and back once, never two at a time, and the next owner has a
+// higher token. What can't be done is refused before its first step.
+func TestRelease(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	g.publish("one", 0, many(6))
+	g.acts(3, "safe")
+	r := agree.Release{ID: "r", Cluster: "rooms", Floor: 0.6, Drain: 20 * time.Millisecond, Away: 20 * time.Millisecond, Warm: 20 * time.Millisecond}
+	for i := range 3 {
+		r.Waves = append(r.Waves, []string{fmt.Sprintf("s-%05d", 2*i), fmt.Sprintf("s-%05d", 2*i+1)})
+	}
+	for _, bad := range []struct {
+		change func(r *agree.Release)
+		want   string
+	}{
+		{func(r *agree.Release) { r.Floor = 0.9 }, "floor: with the 1. wave out 4 of 6"},
+		{func(r *agree.Release) { r.Waves = [][]string{{"s-none"}} }, "s-none, which is not in use"},
+		{func(r *agree.Release) { r.Waves = [][]string{{"s-00001"}, {"s-00001"}} }, "another's"},
+		{func(r *agree.Release) { r.Cluster = "suites" }, "there is no suites"},
+	} {
+		try := r
+		bad.change(&try)
+		if out := g.control(Control{Begin: &try}); !strings.Contains(out.Error, bad.want) || out.Progress != nil {
+			t.Errorf("%q: %+v", bad.want, out)
+		}
+	}
+	if out := g.control(Control{Begin: &r}); out.Error != "" {
+		t.Fatalf("%+v", out)
+	}
+	testkit.Until(t, "the first wave to be out", func() bool {
+		s, err := g.client.Newest(g.patience())
+		return err == nil && s.Facts.Number >= 2
+	})
+	first, before := g.ownerOf()
+	if first < 0 {
+		t.Fatal("nobody owns it")
+	}
+	g.kill(first)
+	testkit.Until(t, "the release to end", func() bool {
+		out := g.control(Control{})
+		return out.Progress != nil && out.Progress.Ended != ""
+	})
+	if out := g.control(Control{}); out.Progress.Ended != "done" {
+		t.Errorf("%+v", out.Progress)
+	}
+	if at, after := g.ownerOf(); at < 0 || at == first || after <= before {
+		t.Errorf("owner %d by %d after %d by %d", at, after, first, before)
+	}
+	g.start(first)
+	s, err := g.client.Newest(g.patience())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for _, m := range s.History[1:] {
+		ids = append(ids, m.ID)
+	}
+	want := []string{"release/r/0/out", "release/r/0/in", "release/r/1/out", "release/r/1/in", "release/r/2/out", "release/r/2/in"}
+	if !slices.Equal(ids, want) {
+		t.Errorf("versions %v, want %v", ids, want)
+	}
+	v := g.nodes[3].node
+	testkit.Until(t, "the follower to hold the last version", func() bool {
+		v.heldMu.Lock()
+		defer v.heldMu.Unlock()
+		return v.held[s.Facts.Number] != nil
+	})
+	v.heldMu.Lock()
+	defer v.heldMu.Unlock()
+	for _, e := range v.held[s.Facts.Number].Clusters["rooms"].Endpoints {
+		if !e.Serves() || e.Started == 0 {
+			t.Errorf("%+v is not back", e)
+		}
+	}
+}
+
+// Paused, a release begins nothing; aborted, it gives back what is out, once, and ends.
+func TestReleaseStops(t *testing.T) {
+	g := newGroup(t, 3, 0)
+	g.publish("one", 0, many(4))
+	r := agree.Release{ID: "r", Cluster: "rooms", Waves: [][]string{{"s-00000"}, {"s-00001"}}, Away: time.Hour}
+	if out := g.control(Control{Word: "pause"}); out.Error != "no release goes on" {
+		t.Errorf("%+v", out)
+	}
+	if out := g.control(Control{Begin: &r}); out.Error != "" {
+		t.Fatalf("%+v", out)
+	}
+	testkit.Until(t, "the first wave to be away", func() bool { p := g.control(Control{}).Progress; return p.Phase == agree.Away })
+	if out := g.control(Control{Word: "pause"}); !out.Progress.Paused {
+		t.Errorf("%+v", out)
+	}
+	other := r
+	other.ID = "other"
+	if out := g.control(Control{Begin: &other}); !strings.Contains(out.Error, "goes on") {
+		t.Errorf("two at once: %+v", out)
+	}
+	if out := g.control(Control{Word: "abort", Why: "the new program fails"}); out.Error != "" {
+		t.Errorf("%+v", out)
+	}
+	testkit.Until(t, "the release to end", func() bool { return g.control(Control{}).Progress.Ended != "" })
+	if p := g.control(Control{}).Progress; p.Ended != "abort: the new program fails" {
+		t.Errorf("%+v", p)
+	}
+	s, err := g.client.Newest(g.patience())
+	if err != nil || len(s.History) != 3 || s.History[2].ID != "release/r/0/in" {
+		t.Errorf("%+v, %v", s.History, err)
+	}
+}
--- a/internal/fleet/peers/take.go
+++ b/internal/fleet/peers/take.go
@@ -318,7 +318,6 @@
 		}
 		return
 	}
-	n.nodes.Store(int64(a.Program.Nodes))
 	n.leaseMu.Lock()
 	n.lease.Took(r)
 	n.acting.Store(&acting{rules: r, until: n.until(r)})
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -12,6 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"yokestall/internal/fleet/owner"
 	"yokestall/internal/model"
 	"yokestall/policy"
 )
@@ -69,6 +70,8 @@
 	Delay    time.Duration // of the network, one way; drawn up to half as long again
 	News     time.Duration // after which a change of the list is told
 	Lead     float64       // share of the requests that goes to node 0; 0: as to each
+	// Deal is how long a node does without what it lends of cold servers' budgets, where an owner deals them out; 0: equal parts.
+	Deal time.Duration
 }
 
 // Tally counts requests of a class.
@@ -133,6 +136,9 @@
 	evDone                // a server's next job may have ended
 	evTrouble             // begins or ends
 	evNews                // of the list, to all nodes
+	evPart                // a node looks at its part of cold servers' budgets, and trades at times
+	evTrade               // reaches the owner
+	evDeal                // is back at the node
 )
 
 type event struct {
@@ -146,6 +152,8 @@
 	token  uint64
 	server int
 	call   *call
+	trade  owner.Trade
+	deal   owner.Deal
 }
 
 type events []event
@@ -225,6 +233,7 @@
 	seconds []struct{ earned, wanted float64 }
 	with    MakeDecider
 	seed    uint64
+	dealer  *owner.Dealer
 }
 
 // node hosts a Decider.
@@ -237,6 +246,7 @@
 	down    bool
 	set     policy.Settings
 	starts  uint64
+	lending
 }
 
 // Play plays a day.
@@ -267,6 +277,9 @@
 	for class := range day.Classes {
 		s.arrive(class)
 	}
+	if day.Deal > 0 {
+		s.dealer = owner.NewDealer(1, s.lendTerms())
+	}
 	for i := range day.Troubles {
 		s.post(event{at: day.Troubles[i].From, kind: evTrouble, index: i})
 		s.post(event{at: day.Troubles[i].To, kind: evTrouble, index: i, token: 1})
@@ -342,6 +355,8 @@
 		} else {
 			s.unanswered(e.call)
 		}
+	case evPart, evTrade, evDeal:
+		s.lend(e)
 	case evSend:
 		s.reach(e)
 	case evReply:
@@ -508,6 +523,7 @@
 }
 
 func (n *node) take(k *call) {
+	n.taken++
 	c := &n.day.Classes[k.class]
 	n.lastID++
 	t := &try{call: k, node: n, id: n.lastID, end: n.now + c.Deadline}
