--- a/cmd/yokestall/versions_test.go
+++ b/cmd/yokestall/versions_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// A release goes on while its owners are stopped, killed and cut off: each step is one version, and no owner acts by a token that was passed.
+func TestReleaseUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real time")
+	}
+	for seed := range uint64(2) {
+		v := versionsRun(seed + 1)
+		v.Release, v.Boxes = true, 8
+		t.Run("", func(t *testing.T) { playVersions(t, v) })
+	}
+}
+
 func playVersions(t *testing.T, v lab.Versions) {
 	itself, env := testkit.Itself()
 	dir := t.TempDir()
--- a/internal/cli/versions.go
+++ b/internal/cli/versions.go
@@ -57,6 +57,7 @@
 	f.Float64Var(&v.Rate, "rate", 150, "requests a second over all processes")
 	f.DurationVar(&v.Terms.Lease, "lease", 600*time.Millisecond, "of the nodes")
 	f.Float64Var(&v.Terms.Drift, "drift", 0.1, "most that a clock may differ")
+	f.BoolVar(&v.Release, "release", false, "in place of versions have a release take each server out and back")
 	f.BoolVar(&v.Power, "power", false, "in place of drawn faults cut the power of all processes twice; they come back one by one")
 	f.BoolVar(&v.Clocks, "clocks", true, "give the processes clocks that are fast and slow by that much")
 	return c
--- a/internal/lab/versions.go
+++ b/internal/lab/versions.go
@@ -21,6 +21,7 @@
 
 	"yokestall/internal/config"
 	"yokestall/internal/files"
+	"yokestall/internal/fleet/agree"
 	"yokestall/internal/fleet/peers"
 	"yokestall/internal/fleet/terms"
 	"yokestall/internal/standin/fleet"
@@ -35,6 +36,7 @@
 	Count         int           // versions to publish, evenly over the length, or as fast as they come into force
 	Length        time.Duration // of the faults; the run goes on until all is published, and some time after
 	Faults        int           // drawn
+	Release       bool          // instead of versions a release takes each server out and back
 	Power         bool          // instead of drawn faults all processes lose power twice, and come back one by one
 	Terms         terms.Terms
 	Rate          float64 // requests a second, over all processes
@@ -215,7 +217,7 @@
 }
 
 // isOut tells whether a version has a server out.
-func (r *versionRun) isOut(stamp, box int) bool { return stamp%r.Boxes == box }
+func (r *versionRun) isOut(stamp, box int) bool { return !r.Release && stamp%r.Boxes == box }
 
 // play publishes under load while the script's faults befall the processes.
 func (r *versionRun) play(ctx context.Context) error {
@@ -242,7 +244,10 @@
 	played := make(chan error, 1)
 	go func() { played <- r.rig.Play(ctx, began, r.out.Script) }()
 	last := 1
-	for stamp := 2; stamp <= r.Count && err == nil; stamp++ {
+	if r.Release {
+		err = r.release(ctx, c)
+	}
+	for stamp := 2; stamp <= r.Count && err == nil && !r.Release; stamp++ {
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Until(began.Add(r.Length * time.Duration(stamp-1) / time.Duration(r.Count)))):
@@ -382,6 +387,49 @@
 	}
 }
 
+// release takes each server out and back, one after the other, and looks that each step was one version.
+func (r *versionRun) release(ctx context.Context, c *peers.Client) error {
+	ctx, stop := context.WithTimeout(ctx, r.Length+2*versionWait)
+	defer stop()
+	rel := agree.Release{ID: "lab", Cluster: "rooms", Floor: 0.5, Drain: 100 * time.Millisecond, Away: 100 * time.Millisecond, Warm: 100 * time.Millisecond}
+	want := []string{""} // the first version
+	for i := range r.Boxes {
+		rel.Waves = append(rel.Waves, []string{fmt.Sprint("s-", i)})
+		want = append(want, fmt.Sprintf("release/lab/%d/out", i), fmt.Sprintf("release/lab/%d/in", i))
+	}
+	began := time.Now()
+	in, seen := peers.Control{Begin: &rel}, 1
+	for {
+		out, err := c.Control(ctx, in)
+		if err == nil && out.Error == "" {
+			in = peers.Control{}
+		}
+		if s, err := c.Newest(ctx); err == nil {
+			for ; seen < len(s.History) && s.History[seen].Number <= s.Facts.Number; seen++ { // it is in force
+				r.rig.Record.Add(fleet.Event{What: fleet.Told, Who: (seen - 1) / 2, Over: seen%2 == 0})
+				r.out.Published++
+			}
+			if in.Begin == nil && out != nil && out.Progress != nil && out.Progress.Ended != "" && seen == len(s.History) {
+				r.out.Times = append(r.out.Times, time.Since(began))
+				if out.Progress.Ended != "done" || len(s.History) != len(want) {
+					return fmt.Errorf("the release ended by %q with %d versions of %d", out.Progress.Ended, len(s.History), len(want))
+				}
+				for i, id := range want[1:] {
+					if s.History[i+1].ID != id {
+						return fmt.Errorf("step %d is %s, not %s", i, s.History[i+1].ID, id)
+					}
+				}
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the release is not over: %+v: %w", out, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
 // probe asks a voter again and again whether it is the owner of the releases.
 func (r *versionRun) probe(ctx context.Context, c *peers.Client, at int) {
 	t := time.NewTicker(20 * time.Millisecond)
--- a/internal/standin/fleet/versions.go
+++ b/internal/standin/fleet/versions.go
@@ -32,9 +32,14 @@
 	took := map[taken]time.Duration{}
 	first := map[int]time.Duration{} // of versions, by attempts that are not safe
 	newest := 0
+	out := map[int]time.Duration{} // servers, since when all know that they are out
 	for i := range events {
 		e := &events[i]
 		switch e.What {
+		case Told:
+			if delete(out, e.Who); !e.Over {
+				out[e.Who] = e.At
+			}
 		case Asked:
 			class[e.ID], process[e.ID] = e.Class, e.Who
 		case Came:
@@ -53,9 +58,12 @@
 			if rules.Out(e.Stamp, e.Who) && e.At > took[by]+rules.Grace+rules.Slack {
 				found = append(found, Finding{Rule: fmt.Sprintf("an attempt at a server that version %d has out", e.Stamp), At: e.At, ID: e.ID, Who: e.Who, Timing: true})
 			}
-			if rules.Safe[of] {
+			if rules.Safe[of] { // a process that is cut off may go on with these
 				continue
 			}
+			if at, is := out[e.Who]; is && e.At > at+rules.Grace+rules.Slack {
+				found = append(found, Finding{Rule: "an attempt at a server that is out", At: e.At, ID: e.ID, Who: e.Who, Timing: true})
+			}
 			if _, known := first[e.Stamp]; !known {
 				first[e.Stamp] = e.At
 			}
