--- /dev/null
+++ b/internal/fleet/agree/alone_test.go
@@ -0,0 +1,52 @@
+package agree
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/internal/fleet/terms"
+	"yokestall/policy"
+)
+
+// Cautious, a cut-off node sends nothing twice and nothing whose route or servers could matter, whatever version follows.
+func TestAlone(t *testing.T) {
+	rng := rand.New(rand.NewPCG(39, 2))
+	now := time.UnixMilli(3000)
+	for range 300 {
+		last, next := drawn(t, rng), drawn(t, rng)
+		a := Alone(last, terms.Alone{Effects: terms.Cautious, Routes: terms.Cautious, Lists: terms.Cautious}, now)
+		if a.Program.Limits.MaxAttempts != 1 || a.Program.Limits.SecondCopies {
+			t.Fatalf("attempts: %+v", a.Program.Limits)
+		}
+		for _, c := range last.Program.Classes {
+			if c.Effect != policy.Safe && a.Refused[c.Name] == "" {
+				t.Fatalf("class %s is served alone", c.Name)
+			}
+		}
+		// Of what is left, only what the documents name may be laxer than a version that follows: a server that is out by then, or has
+		// moved or started; wider budgets; routes of a class that was safe and is no more.
+		if err := AsStrict(a, next); err != nil && !strings.HasPrefix(err.Error(), "server ") && !strings.HasPrefix(err.Error(), "cold ") &&
+			!strings.HasPrefix(err.Error(), "host ") {
+			t.Fatal(err)
+		}
+		for _, e := range a.Clusters["rooms"].Endpoints {
+			if e.Serves() && e.Started > 0 {
+				t.Fatalf("%s may be cold", e.ID)
+			}
+		}
+	}
+	last := version(t, program, servers)
+	if a := Alone(last, terms.Alone{Effects: terms.ServeLast, Routes: terms.ServeLast, Lists: terms.ServeLast}, now); AsStrict(a, last) != nil || AsStrict(Acting{Version: last}, a.Version) != nil || len(a.Refused) > 0 {
+		t.Errorf("not as the last: %v", a.Refused)
+	}
+	for _, r := range []terms.Alone{{Effects: terms.Refuse, Routes: terms.ServeLast, Lists: terms.ServeLast}, {Effects: terms.ServeLast, Routes: terms.Refuse, Lists: terms.ServeLast}, {Effects: terms.ServeLast, Routes: terms.ServeLast, Lists: terms.Refuse}} {
+		if a := Alone(last, r, now); len(a.Refused) != 2 {
+			t.Errorf("%+v: %v", r, a.Refused)
+		}
+	}
+	if _, err := terms.ParseCaution("brave"); err == nil {
+		t.Error("brave is a caution")
+	}
+}
--- a/internal/standin/fleet/record.go
+++ b/internal/standin/fleet/record.go
@@ -19,6 +19,7 @@
 	Ran                  // and took effect
 	Fell                 // server Who was pushed over
 	Told                 // word that server Who drains (Over: serves again) was given to all processes
+	Owned                // process Who, asked at By, answered as the owner of a work, by token Stamp
 	Faulted              // a fault of process Who began or ended
 )
 
@@ -32,6 +33,7 @@
 	By     time.Duration
 	Status int
 	Over   bool
+	Stamp  int // of the rules that an attempt was decided by; 0: it has none
 }
 
 // Record collects events. Its zero value is ready; its methods are safe for concurrent use.
