--- /dev/null
+++ b/internal/cli/agree_test.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"yokestall/internal/testkit"
+)
+
+// agreedNode writes the file of the one voter of a fleet, and gives its path.
+func agreedNode(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	dir := t.TempDir()
+	text := fmt.Sprintf("[listen]\naddress = \"127.0.0.1:0\"\n[files]\nclusters = \"clusters\"\n[fleet.agree]\nname = \"f\"\nnode = \"a\"\nlease = \"300ms\"\nvoters = [\"a=%s\"]\nlisten = %q\n"+
+		"[[class]]\nname = \"read\"\neffect = \"safe\"\ndeadline = \"1s\"\n[[host]]\n[[host.route]]\nprefix = \"/\"\nclass = \"read\"\ncluster = \"rooms\"\n", addr, addr)
+	rooms := "[cluster]\nname = \"rooms\"\n[[endpoint]]\nid = \"s-1\"\naddress = \"127.0.0.1:9\"\n[[endpoint]]\nid = \"s-2\"\naddress = \"127.0.0.1:10\"\n[end]\nendpoints = 2\n"
+	path := filepath.Join(dir, "node.toml")
+	if err := os.Mkdir(filepath.Join(dir, "clusters"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{path: text, filepath.Join(dir, "clusters", "rooms.toml"): rooms} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return path
+}
+
+// A fleet of one from nothing, through the commands of its operators' page.
+func TestFleetCommands(t *testing.T) {
+	path := agreedNode(t)
+	want := func(text string, fails bool, args ...string) {
+		t.Helper()
+		out, err := run(t, args...)
+		if !strings.Contains(out, text) || (err != nil) != fails {
+			t.Errorf("%v: %q, %v; want %q, failing %v", args, out, err, text, fails)
+		}
+	}
+	want("a node acts on its rules for 285ms", false, "check", path)
+	want("0 of 1 voters answer", true, "fleet", "status", "-c", path)
+	want("a is a voter of the fleet f", false, "fleet", "init", "-c", path)
+	if _, err := run(t, "fleet", "init", "-c", path); err == nil || !strings.Contains(err.Error(), "is a voter's already") {
+		t.Errorf("init twice: %v", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- Serve(ctx, path, testkit.Log(t), nil) }()
+	defer func() {
+		stop()
+		if err := testkit.Wait(t, served, "the end"); err != nil {
+			t.Error(err)
+		}
+	}()
+	testkit.Until(t, "the voter to lead", func() bool {
+		out, _ := run(t, "fleet", "voters", "-c", path)
+		return strings.Contains(out, "a leads")
+	})
+	want("version 1 is in force", false, "fleet", "publish", "-c", path, "--base", "0", path)
+	want("not the present one: 1, not 0", true, "fleet", "publish", "-c", path, "--base", "0", path)
+	other := filepath.Join(filepath.Dir(path), "other.toml")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(other, bytes.Replace(text, []byte("safe"), []byte("unsafe"), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	want("CONTRADICTS effect of a class: read", true, "fleet", "diff", path, other)
+	want("version 2 is in force", false, "fleet", "publish", "-c", path, "--base", "present", other)
+	want("effect of a class: read: unsafe to safe", true, "fleet", "publish", "-c", path, "--base", "1", path)
+	want("version 3 is in force", false, "fleet", "rollback", "-c", path, "--base", "2", "1")
+	want("2 from 1, by a, id", false, "fleet", "history", "-c", path)
+	want(`"in_force": true`, false, "fleet", "publish", "-c", path, "--base", "3", "--json", path)
+	rel := filepath.Join(filepath.Dir(path), "release.toml")
+	for _, tc := range []struct {
+		text, want string
+		fails      bool
+	}{
+		{"cluster = \"rooms\"\nservers = [\"s-1\", \"s-2\"]\nat_once = 2\n", "floor: with the 1. wave out 0 of 2", true},
+		{"cluster = \"rooms\"\nservers = [\"s-1\", \"s-2\"]\n", "wave 1 of 2", false},
+	} {
+		if err := os.WriteFile(rel, []byte(tc.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		want(tc.want, tc.fails, "release", "-c", path, rel)
+	}
+	testkit.Until(t, "the release to end", func() bool {
+		out, _ := run(t, "release", "status", "-c", path)
+		return strings.Contains(out, ": done")
+	})
+	want("release: a by token", false, "fleet", "owners", "-c", path)
+}
+
+// What can't be a release is told by its file.
+func TestReleaseFile(t *testing.T) {
+	for _, tc := range []struct{ text, want string }{
+		{"cluster = \"a\"\n", "waves: 0"}, {"cluster = \"a\"\nservers = [\"x\", \"x\"]\n", "another's"},
+		{"cluster = \"a\"\nservers = [\"x\"]\nat_once = 0\n", "at_once: 0 is below 1"}, {"servers = [\"x\"]\n", "id and cluster"},
+		{"cluster = \"a\"\nservers = [\"x\"]\ndrain = \"2h\"\n", "drain: 2h0m0s"}, {"cluster = \"a\"\nwhen = 3\n", "when"},
+		{"cluster = \"a\"\nservers = [\"x\"]\nwaves = [[\"y\"]]\n", "waves, or servers"},
+	} {
+		if _, err := parseRelease("r.toml", []byte(tc.text)); err == nil || !strings.Contains(err.Error(), tc.want) || !strings.Contains(err.Error(), "r.toml") {
+			t.Errorf("%q: %v", tc.text, err)
+		}
+	}
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -75,6 +75,13 @@
 	return do(c)
 }
 
+// report makes a command without arguments that asks the fleet for something and prints it.
+func (f *fleetCommands) report(use, short string, do func(ctx context.Context, c *peers.Client) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		return f.with(func(c *peers.Client) error { return do(cmd.Context(), c) })
+	}}
+}
+
 // print prints JSON, or as text says.
 func (f *fleetCommands) print(v any, text func()) error {
 	if !f.json {
@@ -113,32 +120,25 @@
 }
 
 func (f *fleetCommands) status() *cobra.Command {
-	return &cobra.Command{
-		Use:   "status",
-		Short: "Say how each voter sees the fleet: leader, version in force, version that waits, and for whom",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return f.with(func(c *peers.Client) error {
-				list := c.Status(cmd.Context())
-				up := 0
-				for _, a := range list {
-					if a.Status != nil && a.Status.Voter {
-						up++
-					}
-				}
-				err := f.print(list, func() {
-					for _, a := range list {
-						f.line(a)
-					}
-				})
-				if err == nil && up <= len(list)/2 {
-					fmt.Fprintf(f.out, "%d of %d voters answer: no version can come into force, and leases run out\n", up, len(list))
-					return ErrReported
-				}
-				return err
-			})
-		},
-	}
+	return f.report("status", "Say how each voter sees the fleet: leader, version in force, version that waits, and for whom", func(ctx context.Context, c *peers.Client) error {
+		list := c.Status(ctx)
+		up := 0
+		for _, a := range list {
+			if a.Status != nil && a.Status.Voter {
+				up++
+			}
+		}
+		err := f.print(list, func() {
+			for _, a := range list {
+				f.line(a)
+			}
+		})
+		if err == nil && up <= len(list)/2 {
+			fmt.Fprintf(f.out, "%d of %d voters answer: no version can come into force, and leases run out\n", up, len(list))
+			return ErrReported
+		}
+		return err
+	})
 }
 
 // line prints a voter's status.
@@ -182,7 +182,8 @@
 }
 
 func (f *fleetCommands) publish() *cobra.Command {
-	base, id, wait, change := "", "", 30*time.Second, false
+	var o submission
+	change := false
 	c := &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Have the fleet take up a configuration: classes, limits, tenants, hosts, [fleet] figures and cluster files",
@@ -195,37 +196,42 @@
 				if err != nil {
 					return err
 				}
-				return f.with(func(c *peers.Client) error {
-					return f.submit(cmd.Context(), c, base, id, wait, func(id string, at uint64) (*peers.Published, error) {
-						return c.Change(cmd.Context(), id, at, config.File{Name: args[0], Text: text})
-					})
+				return f.submit(cmd.Context(), o, func(ctx context.Context, c *peers.Client, id string, base uint64) (*peers.Published, error) {
+					return c.Change(ctx, id, base, config.File{Name: args[0], Text: text})
 				})
 			}
 			list, err := files.Bundle(args[0])
 			if err != nil {
 				return err
 			}
-			return f.with(func(c *peers.Client) error {
-				return f.submit(cmd.Context(), c, base, id, wait, func(id string, at uint64) (*peers.Published, error) {
-					return c.Publish(cmd.Context(), id, at, list)
-				})
+			return f.submit(cmd.Context(), o, func(ctx context.Context, c *peers.Client, id string, base uint64) (*peers.Published, error) {
+				return c.Publish(ctx, id, base, list)
 			})
 		},
 	}
-	submitFlags(c, &base, &id, &wait)
+	o.flags(c)
 	c.Flags().BoolVar(&change, "change", false, "FILE is a change of one cluster's list: a cluster file with change = true, and removed = [ids]")
 	return c
 }
 
-func submitFlags(c *cobra.Command, base, id *string, wait *time.Duration) {
-	c.Flags().StringVar(base, "base", "", "`number` of the version that it was made from, or present for whatever is in force")
-	c.Flags().StringVar(id, "id", "", "of an earlier try, to find out what became of it")
-	c.Flags().DurationVar(wait, "wait", *wait, "until it is in force; 0: don't")
+// submission is what publish and rollback are told.
+type submission struct {
+	base, id string
+	wait     time.Duration
+}
+
+func (o *submission) flags(c *cobra.Command) {
+	c.Flags().StringVar(&o.base, "base", "", "`number` of the version that it was made from, or present for whatever is in force")
+	c.Flags().StringVar(&o.id, "id", "", "of an earlier try, to find out what became of it")
+	c.Flags().DurationVar(&o.wait, "wait", 30*time.Second, "until it is in force; 0: don't")
 	c.MarkFlagRequired("base")
 }
 
+// submitter has a client take up a version under an id, made from a base.
+type submitter func(ctx context.Context, c *peers.Client, id string, base uint64) (*peers.Published, error)
+
 func (f *fleetCommands) rollback() *cobra.Command {
-	base, id, wait := "", "", 30*time.Second
+	var o submission
 	c := &cobra.Command{
 		Use:   "rollback NUMBER",
 		Short: "Have the fleet take up an earlier version again, as a new one",
@@ -235,21 +241,24 @@
 			if err != nil {
 				return fmt.Errorf("%q is no version's number", args[0])
 			}
-			return f.with(func(c *peers.Client) error {
-				return f.submit(cmd.Context(), c, base, id, wait, func(id string, at uint64) (*peers.Published, error) {
-					return c.Rollback(cmd.Context(), id, at, number)
-				})
+			return f.submit(cmd.Context(), o, func(ctx context.Context, c *peers.Client, id string, base uint64) (*peers.Published, error) {
+				return c.Rollback(ctx, id, base, number)
 			})
 		},
 	}
-	submitFlags(c, &base, &id, &wait)
+	o.flags(c)
 	return c
 }
 
 // submit has a version taken up and waits for it.
-func (f *fleetCommands) submit(ctx context.Context, c *peers.Client, base, id string, wait time.Duration, do func(id string, base uint64) (*peers.Published, error)) error {
-	at, err := strconv.ParseUint(base, 10, 64)
-	if base == "present" {
+func (f *fleetCommands) submit(ctx context.Context, o submission, do submitter) error {
+	return f.with(func(c *peers.Client) error { return f.submitBy(ctx, c, o, do) })
+}
+
+func (f *fleetCommands) submitBy(ctx context.Context, c *peers.Client, by submission, do submitter) error {
+	id, wait := by.id, by.wait
+	at, err := strconv.ParseUint(by.base, 10, 64)
+	if by.base == "present" {
 		var s *peers.Status
 		if s, err = c.Newest(ctx); err == nil {
 			at = s.Facts.Number
@@ -261,7 +270,7 @@
 	if id == "" {
 		id = peers.NewID()
 	}
-	p, err := do(id, at)
+	p, err := do(ctx, c, id, at)
 	if err != nil {
 		return err
 	}
@@ -307,101 +316,80 @@
 }
 
 func (f *fleetCommands) history() *cobra.Command {
-	return &cobra.Command{
-		Use:   "history",
-		Short: "List the latest versions",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return f.with(func(c *peers.Client) error {
-				s, err := c.Newest(cmd.Context())
-				if err != nil {
-					return err
+	return f.report("history", "List the latest versions", func(ctx context.Context, c *peers.Client) error {
+		s, err := c.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		return f.print(s.History, func() {
+			for _, m := range s.History {
+				note := ""
+				switch {
+				case m.Refused != "":
+					note = ", refused: " + m.Refused
+				case m.Number == s.Facts.Number:
+					note = ", in force"
+				case m.Number == s.Facts.Pending:
+					note = ", waits"
 				}
-				return f.print(s.History, func() {
-					for _, m := range s.History {
-						note := ""
-						switch {
-						case m.Refused != "":
-							note = ", refused: " + m.Refused
-						case m.Number == s.Facts.Number:
-							note = ", in force"
-						case m.Number == s.Facts.Pending:
-							note = ", waits"
-						}
-						if m.Contradicts {
-							note = ", contradicted what was in force" + note
-						}
-						fmt.Fprintf(f.out, "%d from %d, by %s, id %s%s\n", m.Number, m.Base, m.By, m.ID, note)
-					}
-				})
-			})
-		},
-	}
+				if m.Contradicts {
+					note = ", contradicted what was in force" + note
+				}
+				fmt.Fprintf(f.out, "%d from %d, by %s, id %s%s\n", m.Number, m.Base, m.By, m.ID, note)
+			}
+		})
+	})
 }
 
 func (f *fleetCommands) owners() *cobra.Command {
-	return &cobra.Command{
-		Use:   "owners",
-		Short: "Say which node does each work on behalf of the fleet, by which token, and for how long its lease lasts",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return f.with(func(c *peers.Client) error {
-				s, err := c.Newest(cmd.Context())
-				if err != nil {
-					return err
+	return f.report("owners", "Say which node does each work on behalf of the fleet, by which token, and for how long its lease lasts", func(ctx context.Context, c *peers.Client) error {
+		s, err := c.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		list := s.Owners
+		for _, a := range c.Status(ctx) { // the owner itself knows its lease
+			for i := range list {
+				if a.Status != nil && i < len(a.Status.Owners) && a.Status.Owners[i].Acts && a.Status.Owners[i].Token == list[i].Token {
+					list[i] = a.Status.Owners[i]
 				}
-				list := s.Owners
-				for _, a := range c.Status(cmd.Context()) { // the owner itself knows its lease
-					for i := range list {
-						if a.Status != nil && i < len(a.Status.Owners) && a.Status.Owners[i].Acts && a.Status.Owners[i].Token == list[i].Token {
-							list[i] = a.Status.Owners[i]
-						}
-					}
+			}
+		}
+		return f.print(list, func() {
+			for _, o := range list {
+				switch {
+				case o.Owner == "":
+					fmt.Fprintf(f.out, "%s: nobody; each node has an equal part\n", o.Work)
+				case o.Leaving != "":
+					fmt.Fprintf(f.out, "%s: %s by token %d, and %s once that one can't act any more\n", o.Work, o.Owner, o.Token, o.Leaving)
+				case o.Acts:
+					fmt.Fprintf(f.out, "%s: %s by token %d, for %d ms\n", o.Work, o.Owner, o.Token, o.LeftMs)
+				default:
+					fmt.Fprintf(f.out, "%s: %s by token %d, without a lease at present\n", o.Work, o.Owner, o.Token)
 				}
-				return f.print(list, func() {
-					for _, o := range list {
-						switch {
-						case o.Owner == "":
-							fmt.Fprintf(f.out, "%s: nobody; each node has an equal part\n", o.Work)
-						case o.Leaving != "":
-							fmt.Fprintf(f.out, "%s: %s by token %d, and %s once that one can't act any more\n", o.Work, o.Owner, o.Token, o.Leaving)
-						case o.Acts:
-							fmt.Fprintf(f.out, "%s: %s by token %d, for %d ms\n", o.Work, o.Owner, o.Token, o.LeftMs)
-						default:
-							fmt.Fprintf(f.out, "%s: %s by token %d, without a lease at present\n", o.Work, o.Owner, o.Token)
-						}
-					}
-				})
-			})
-		},
-	}
+			}
+		})
+	})
 }
 
 func (f *fleetCommands) voters() *cobra.Command {
-	return &cobra.Command{
-		Use:   "voters",
-		Short: "List the voters and whether each votes",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return f.with(func(c *peers.Client) error {
-				list := c.Status(cmd.Context())
-				return f.print(list, func() {
-					for _, a := range list {
-						switch {
-						case a.Status == nil:
-							fmt.Fprintf(f.out, "%s does not answer\n", a.Voter)
-						case !a.Status.Voter:
-							fmt.Fprintf(f.out, "%s doesn't vote\n", a.Voter)
-						case a.Status.Leader == a.Voter:
-							fmt.Fprintf(f.out, "%s leads\n", a.Voter)
-						default:
-							fmt.Fprintf(f.out, "%s votes\n", a.Voter)
-						}
-					}
-				})
-			})
-		},
-	}
+	return f.report("voters", "List the voters and whether each votes", func(ctx context.Context, c *peers.Client) error {
+		list := c.Status(ctx)
+		return f.print(list, func() {
+			for _, a := range list {
+				switch {
+				case a.Status == nil:
+					fmt.Fprintf(f.out, "%s does not answer\n", a.Voter)
+				case !a.Status.Voter:
+					fmt.Fprintf(f.out, "%s doesn't vote\n", a.Voter)
+				case a.Status.Leader == a.Voter:
+					fmt.Fprintf(f.out, "%s leads\n", a.Voter)
+				default:
+					fmt.Fprintf(f.out, "%s votes\n", a.Voter)
+				}
+			}
+		})
+	})
 }
 
 func fleetDiff(out io.Writer) *cobra.Command {
