--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -352,6 +352,28 @@
 	g.acts(3, "unsafe")
 }
 
+// A voter whose disk fails votes no more and says so; it goes on to act on what the others agree on, and they need it for nothing.
+func TestDiskFails(t *testing.T) {
+	g := newGroup(t, 3, 0)
+	g.publish("one", 0, bundle("safe"))
+	for i := range g.nodes {
+		g.acts(i, "safe")
+	}
+	g.nodes[1].node.store.Close() // from here on each write and read fails
+	if p := g.publish("two", 1, bundle("unsafe")); !g.inForce(p.Number).InForce {
+		t.Fatalf("%+v", p)
+	}
+	for i := range g.nodes {
+		g.acts(i, "unsafe")
+	}
+	testkit.Until(t, "the voter to say so", func() bool {
+		a := g.client.Status(g.patience())[1]
+		return a.Status != nil && !a.Status.Voter && strings.Contains(a.Status.Store, "nothing is written after a failure")
+	})
+	g.publish("three", 2, bundle("safe"))
+	g.acts(1, "safe")
+}
+
 // Who names another fleet, or shows no key of this one, is turned away, whatever it goes on to say.
 func TestStrangers(t *testing.T) {
 	own, other := t.TempDir(), t.TempDir()
--- a/internal/fleet/peers/take.go
+++ b/internal/fleet/peers/take.go
@@ -210,16 +210,22 @@
 		return nil, &cannot{fmt.Errorf("%s: %d bytes; %d at most", p.Name, p.Size, config.MaxFile)}
 	}
 	data, err := n.store.Get(p.Hash)
-	if data != nil || err != nil {
-		return data, err
+	if data != nil {
+		return data, nil
 	}
 	last := fmt.Errorf("%s: no voter has its content", p.Name)
+	if err != nil { // a disk that failed ends no service: others have it
+		last = err
+	}
 	for _, c := range n.conns {
 		one, stop := context.WithTimeout(ctx, 5*time.Second)
 		data, err := c.Fetch(one, p)
 		stop()
 		if err == nil {
-			return data, n.keepContent(data)
+			if err := n.keepContent(data); err != nil {
+				n.Log.Warn("content is not kept here", "file", p.Name, "err", err)
+			}
+			return data, nil
 		}
 		last = err
 	}
