Find an old copy of a voter's disk before it votes

A voter on an older copy of its disk has forgotten its vote and its promises. Each start is counted on the disk; the other voters keep the latest that they met, half of them admit a start before it votes, and one that any met in a later life votes no more and says so.

--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -57,11 +57,14 @@
 	conns map[uint64]*Conn // to voters but itself
 	out   map[uint64]chan *pb.Message
 
-	mu      sync.Mutex // guards what follows
-	voter   *agree.Voter
-	broken  error         // why it votes no more
-	changed chan struct{} // closed when the voter's state is another
-	recent  map[string]time.Time
+	start store.Life // of a voter
+
+	mu       sync.Mutex   // guards what follows
+	standing *agree.Voter // that has not been admitted yet
+	voter    *agree.Voter
+	broken   error         // why it votes no more
+	changed  chan struct{} // closed when the voter's state is another
+	recent   map[string]time.Time
 
 	leaseMu sync.Mutex
 	lease   *agree.Lease
@@ -151,7 +154,7 @@
 			if err := n.vote(own); err != nil {
 				return err
 			}
-			if n.voter != nil {
+			if n.standing != nil {
 				continue
 			}
 		}
@@ -177,40 +180,50 @@
 	if id.Fleet != n.Fleet || id.ID != own || !slices.Equal(id.Voters, ids(n.Voters)) {
 		return fmt.Errorf("%s: the store is of the voter %s of the fleet %q, among others: %s", n.Dir, id.Name, id.Fleet, "the configuration names another, or other voters")
 	}
-	if n.voter, err = agree.NewVoter(n.Clock(), own, n.Terms, disk); err != nil {
+	v, err := agree.NewVoter(n.Clock(), own, n.Terms, disk)
+	if err != nil {
 		return err
 	}
-	n.voter.Works = works()
-	for _, v := range n.Voters {
-		n.voter.Eligible = append(n.voter.Eligible, v.Name)
+	v.Works = works()
+	for _, other := range n.Voters {
+		v.Eligible = append(v.Eligible, other.Name)
 	}
-	return nil
+	n.standing = v
+	n.start, err = n.store.NextLife(n.Name)
+	return err
 }
 
 // Run has the node take part until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, n.stop)
 	defer stop()
+	votes := n.standing != nil
 	for id, c := range n.conns {
-		if n.voter != nil {
+		if votes {
 			n.out[id] = make(chan *pb.Message, outMost)
 		}
 		n.run.Go(func() { n.attendTo(c) })
 	}
-	if n.voter != nil {
-		for id, queue := range n.out {
-			n.run.Go(func() { n.carryTo(id, n.conns[id], queue) })
-		}
-		n.run.Go(n.tick)
-		n.run.Go(n.attendSelf)
+	if votes {
+		n.run.Go(n.takePart)
 	}
 	n.run.Go(n.takes)
-	if n.voter != nil {
-		n.run.Go(n.releases)
-	}
 	n.run.Wait()
 }
 
+// takePart has the voter take part, once it has been admitted.
+func (n *Node) takePart() {
+	if !n.admit() {
+		return
+	}
+	for id, queue := range n.out {
+		n.run.Go(func() { n.carryTo(id, n.conns[id], queue) })
+	}
+	n.run.Go(n.tick)
+	n.run.Go(n.attendSelf)
+	n.run.Go(n.releases)
+}
+
 // Close ends what Open opened; Run must have returned.
 func (n *Node) Close() error {
 	n.stop()
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -374,6 +374,36 @@
 	g.acts(1, "safe")
 }
 
+// A voter that comes back on an old copy of its disk votes no more, and says so; the fleet goes on without it, and it acts by what the others agree on.
+func TestOldCopyOfADisk(t *testing.T) {
+	g := newGroup(t, 3, 0)
+	g.publish("one", 0, bundle("safe"))
+	g.kill(1)
+	path := filepath.Join(g.dir, "n1", "agree.db")
+	old, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.start(1)
+	g.acts(1, "safe")
+	if p := g.publish("two", 1, bundle("unsafe")); !g.inForce(p.Number).InForce {
+		t.Fatalf("%+v", p)
+	}
+	g.kill(1)
+	if err := os.WriteFile(path, old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g.start(1)
+	testkit.Until(t, "the voter to say so", func() bool {
+		a := g.client.Status(g.patience())[1]
+		return a.Status != nil && !a.Status.Voter && strings.Contains(a.Status.Store, "an old copy of this voter's disk")
+	})
+	if p := g.publish("three", 2, bundle("safe")); !g.inForce(p.Number).InForce {
+		t.Fatalf("%+v", p)
+	}
+	g.acts(1, "safe")
+}
+
 // Who names another fleet, or shows no key of this one, is turned away, whatever it goes on to say.
 func TestStrangers(t *testing.T) {
 	own, other := t.TempDir(), t.TempDir()
--- a/internal/fleet/peers/wire.go
+++ b/internal/fleet/peers/wire.go
@@ -153,7 +153,7 @@
 		ServiceName: service, HandlerType: (*any)(nil),
 		Methods: []grpc.MethodDesc{
 			method("Describe", (*Node).describe), method("Fetch", (*Node).fetch), method("Have", (*Node).have),
-			method("Publish", (*Node).publish), method("Refuse", (*Node).refuse), method("Status", (*Node).status), method("Owns", (*Node).owns), method("Release", (*Node).control),
+			method("Publish", (*Node).publish), method("Refuse", (*Node).refuse), method("Status", (*Node).status), method("Owns", (*Node).owns), method("Hello", (*Node).hello), method("Release", (*Node).control),
 		},
 		Streams: []grpc.StreamDesc{
 			stream("Carry", true, false, (*Node).carry), stream("Attend", true, true, (*Node).attend), stream("Put", true, false, (*Node).put),
