--- a/internal/fleet/agree/works.go
+++ b/internal/fleet/agree/works.go
@@ -194,7 +194,8 @@
 // lease, given to others.
 func (v *Voter) works(now time.Duration) {
 	s := v.state
-	for name, w := range s.Works {
+	for _, name := range slices.Sorted(maps.Keys(s.Works)) {
+		w := s.Works[name]
 		if w.Asked != 0 && !slices.Contains(w.Freed, v.ID) && v.due("free "+name, w.Asked) && v.desk.CanFree(now, w) {
 			v.Propose(&Entry{Free: &Free{Work: name, Asked: w.Asked, Voter: v.ID}})
 		}
