Ask how late the machine was before the last request of a stop is judged

TestServesWhileItStops failed once in a full run of the suite: the request before the stop's end got no answer. Not seen again in 180 runs at 30 copies at once, with the change or without, so its cause is not proven; a front that reads 50 ms late on a machine that was late itself would look so. The test now measures that in its own process.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -487,6 +487,7 @@
 	steady, late := n.dial(), n.dial()
 	n.ask(steady)
 	n.ask(late)
+	lateness := testkit.Lateness(t)
 	began := time.Now()
 	n.stop()
 	n.waitReady(http.StatusServiceUnavailable)
@@ -516,6 +517,7 @@
 	switch {
 	case err == nil && resp.StatusCode == http.StatusBadGateway:
 	case sent > plan.whole-stopTail-50*time.Millisecond: // it came too late to be taken
+	case lateness() > 25*time.Millisecond: // or may have been read too late, by a machine that was late itself
 	default:
 		t.Errorf("the last one is answered with %v, %v", resp, err)
 	}
