Act alone beside a single voter, and refuse alone what was refused in between

A node that started and heard of one voter, short of a majority, served nothing for ever: it waited only where it had heard of none. One that lost its lease between two versions went on alone with classes whose routes were changing, where its rules were serve-last. And a version that can't be taken no longer leaves the node under that version's name.

--- a/internal/fleet/agree/alone.go
+++ b/internal/fleet/agree/alone.go
@@ -1,6 +1,7 @@
 package agree
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -9,12 +10,13 @@
 	"yokestall/policy"
 )
 
-// Alone gives what a node acts on without a lease, by the last version that it acted on, at a wall-clock time that only serves to
+// Alone gives what a node acts on without a lease, by what it acted on last, at a wall-clock time that only serves to
 // tell which servers had started lately when the lease ended.
-func Alone(last *Version, rules terms.Alone, ended time.Time) Acting {
+func Alone(last Acting, rules terms.Alone, ended time.Time) Acting {
 	p := *last.Program
 	p.Classes = slices.Clone(p.Classes)
 	out := Acting{&Version{Program: &p, Clusters: last.Clusters}, map[string]string{}}
+	maps.Copy(out.Refused, last.Refused) // what was refused between two versions is no less in doubt now
 	if rules.Effects == terms.Cautious {
 		p.Limits.MaxAttempts, p.Limits.SecondCopies = 1, false
 	}
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -345,6 +345,7 @@
 	g.kill(3)
 	g.nodes[3].acts = nil
 	g.start(3)
+	g.nodes[3].node.heard(nil, &agree.Facts{Index: 1, Number: 2}) // one voter alone can be heard of
 	g.acts(3, "-")
 	for i := range g.voters {
 		g.start(i)
--- a/internal/fleet/peers/take.go
+++ b/internal/fleet/peers/take.go
@@ -269,7 +269,7 @@
 		n.takeSet()
 		n.leaseMu.Lock()
 		now := n.Clock()
-		want, facts := n.lease.Want(now), n.lease.Facts()
+		want := n.lease.Want(now)
 		cur := n.acting.Load()
 		may := cur != nil && (cur.alone || n.lease.May(now, cur.rules))
 		n.leaseMu.Unlock()
@@ -278,7 +278,7 @@
 			n.take(want)
 		case !may && cur != nil:
 			n.goAlone(cur.rules)
-		case cur == nil && facts.Number == 0 && now-began > n.Terms.Lease:
+		case cur == nil && now-began > n.Terms.Lease:
 			n.wakeAlone()
 		}
 		next := n.Terms.Renew()
@@ -314,6 +314,7 @@
 	}
 	n.leaseMu.Unlock()
 	if err := n.Take(a); err != nil {
+		n.acting.Store(cur) // that is what the program still acts on
 		n.heldMu.Lock()
 		n.cannot[max(r.Number, r.Pending)] = err.Error()
 		delete(n.held, max(r.Number, r.Pending))
@@ -349,13 +350,13 @@
 // goAlone has the program act on what is cautious without a lease, by the rules that it acted on last.
 func (n *Node) goAlone(last agree.Rules) {
 	n.heldMu.Lock()
-	v := n.held[last.Number]
-	if next := n.held[last.Pending]; v != nil && next != nil {
-		v = agree.Stricter(v, next).Version
-	}
+	v, next := n.held[last.Number], n.held[last.Pending]
 	n.heldMu.Unlock()
-	if v != nil {
-		n.alone(v, last)
+	switch {
+	case v != nil && next != nil:
+		n.alone(agree.Stricter(v, next), last)
+	case v != nil:
+		n.alone(agree.Acting{Version: v}, last)
 	}
 }
 
@@ -373,11 +374,11 @@
 	n.heldMu.Lock()
 	n.keep(m, v)
 	n.heldMu.Unlock()
-	n.alone(v, agree.Rules{Number: m.Number})
+	n.alone(agree.Acting{Version: v}, agree.Rules{Number: m.Number})
 }
 
-func (n *Node) alone(v *agree.Version, last agree.Rules) {
-	if err := n.Take(agree.Alone(v, n.Config.Alone, time.Now())); err != nil {
+func (n *Node) alone(a agree.Acting, last agree.Rules) {
+	if err := n.Take(agree.Alone(a, n.Config.Alone, time.Now())); err != nil {
 		n.Log.Error("nothing is served without a lease", "err", err)
 		return
 	}
