End a release that can't be given back, instead of failing for ever

A version that gives a wave back and is refused by a node had its owner propose a failure twenty times a second, each of which led to the same phase. A failure now counts for the phase that it names, once, and ends the release where giving back is what failed.

--- a/internal/fleet/agree/release.go
+++ b/internal/fleet/agree/release.go
@@ -93,7 +93,7 @@
 // Move takes a release on, or an operator's word on it.
 type Move struct {
 	ID    string `json:"id"`
-	Wave  int    `json:"wave"` // that it is in, and the phase: if it isn't any more, nothing happens
+	Wave  int    `json:"wave"` // that it is in, and the phase: if it isn't any more, a phase is not over, nor does it fail
 	Phase Phase  `json:"phase"`
 	Word  string `json:"word,omitempty"` // "pause", "resume", "abort", "fail"; "": the phase is over
 	Why   string `json:"why,omitempty"`
@@ -116,10 +116,16 @@
 	switch m.Word {
 	case "pause", "resume":
 		p.Paused = m.Word == "pause"
-	case "abort", "fail": // what is out comes back first
-		p.Stops, p.Paused = m.Word+": "+m.Why, false
-		p.Waves = slices.Clone(p.Waves[:p.Wave+1])
-		p.Phase = max(p.Phase, Giving)
+	case "abort":
+		p.stop(m)
+	case "fail": // of the phase that it names, once
+		switch {
+		case m.Wave != p.Wave || m.Phase != p.Phase:
+		case p.Phase < Giving:
+			p.stop(m)
+		default: // nor can it be given back: that is a person's
+			p.Ended = m.Word + ": " + m.Why
+		}
 	case "":
 		if m.Wave != p.Wave || m.Phase != p.Phase || p.Paused && p.Phase != Giving {
 			return
@@ -135,6 +141,13 @@
 	}
 }
 
+// stop has the present wave given back, and the release end with it.
+func (p *Progress) stop(m *Move) {
+	p.Stops, p.Paused = m.Word+": "+m.Why, false
+	p.Waves = slices.Clone(p.Waves[:p.Wave+1])
+	p.Phase = max(p.Phase, Giving)
+}
+
 // Length is how long a phase lasts from when it began; 0 where it ends with a version in force.
 func (p *Progress) Length() time.Duration {
 	switch p.Phase {
--- a/internal/fleet/peers/release.go
+++ b/internal/fleet/peers/release.go
@@ -153,7 +153,7 @@
 		}
 		if over, err := n.phaseOver(s, p, since); err != nil {
 			n.Log.Error("a release stops", "release", p.Release.ID, "wave", p.Wave, "phase", p.Phase.String(), "err", err)
-			n.propose(&agree.Entry{Move: &agree.Move{ID: p.Release.ID, Word: "fail", Why: err.Error()}})
+			n.propose(&agree.Entry{Move: &agree.Move{ID: p.Release.ID, Wave: p.Wave, Phase: p.Phase, Word: "fail", Why: err.Error()}})
 		} else if over && n.still(token) {
 			n.propose(&agree.Entry{Move: &agree.Move{ID: p.Release.ID, Wave: p.Wave, Phase: p.Phase}})
 		}
