Wait for news of the log instead of looking again, and read nothing for a version that can't wait

A release's owner and its operators looked every 5 and 50 ms where the log says when it changes; a publish that was to come back was read whole first, and one whose voter's disk failed was told that it was made from another version. A voter that votes no more says so to all that wait on it. One nonce for a process's life; a parser of voters that nobody used is gone.

--- a/internal/fleet/peers/admit.go
+++ b/internal/fleet/peers/admit.go
@@ -72,9 +72,7 @@
 			return true
 		case err == nil:
 			n.mu.Lock()
-			n.broken = fmt.Errorf("%s: an old copy of this voter's disk: it is at start %d, and another voter has met start %d", n.Dir, n.start.Count, m.Latest.Count)
-			n.voter, n.standing = nil, nil
-			n.Log.Error("this node votes no more", "err", n.broken)
+			n.breakOff(fmt.Errorf("%s: an old copy of this voter's disk: it is at start %d, and another voter has met start %d", n.Dir, n.start.Count, m.Latest.Count))
 			n.mu.Unlock()
 			return false
 		}
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -127,10 +125,8 @@
 	if c.Clock == nil {
 		c.Clock = BootTime
 	}
-	life := make([]byte, 8)
-	rand.Read(life)
 	n := &Node{
-		Config: c, life: hex.EncodeToString(life), puts: make(chan struct{}, maxPuts), conns: map[uint64]*Conn{}, out: map[uint64]chan *pb.Message{},
+		Config: c, life: NewID(), puts: make(chan struct{}, maxPuts), conns: map[uint64]*Conn{}, out: map[uint64]chan *pb.Message{},
 		changed: make(chan struct{}), recent: map[string]time.Time{}, askNow: make(chan struct{}), kick: make(chan struct{}, 1),
 		held: map[uint64]*agree.Version{}, cannot: map[uint64]string{}, coming: map[uint64]bool{}, known: map[uint64]*agree.Manifest{},
 	}
@@ -189,7 +185,7 @@
 		v.Eligible = append(v.Eligible, other.Name)
 	}
 	n.standing = v
-	n.start, err = n.store.NextLife(n.Name)
+	n.start, err = n.store.NextLife(n.Name, n.life)
 	return err
 }
 
@@ -249,29 +245,20 @@
 
 // state gives what the log says here; nil: this node has none.
 func (n *Node) state() *agree.State {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.voter == nil {
-		return nil
-	}
-	return n.voter.State()
+	s, _ := n.newState()
+	return s
 }
 
-// newState gives the state with a channel that is closed when there is another.
+// newState gives the state, nil if this node has none, with a channel that is closed when there is another.
 func (n *Node) newState() (*agree.State, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.voter == nil {
-		return &agree.State{}, n.changed
+		return nil, n.changed
 	}
 	return n.voter.State(), n.changed
 }
 
-func (n *Node) news() (agree.Facts, <-chan struct{}) {
-	s, changed := n.newState()
-	return s.Facts(), changed
-}
-
 func (n *Node) tick() {
 	t := time.NewTicker(agree.Tick)
 	defer t.Stop()
@@ -319,18 +306,29 @@
 			err = n.begin(snap)
 		}
 		if err != nil {
-			n.broken, n.voter = err, nil
-			n.Log.Error("this node votes no more", "err", err)
+			n.breakOff(err)
 			return err
 		}
 	}
 	if now := n.voter.State(); now.Facts() != before {
-		close(n.changed)
-		n.changed = make(chan struct{})
+		n.tell()
 	}
 	return nil
 }
 
+// tell says that the state is another; n.mu is held.
+func (n *Node) tell() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// breakOff has the node vote no more; n.mu is held.
+func (n *Node) breakOff(err error) {
+	n.broken, n.voter, n.standing = err, nil, nil
+	n.Log.Error("this node votes no more", "err", err)
+	n.tell()
+}
+
 // begin has the log begin anew, and forgets content that no version names.
 func (n *Node) begin(snap *pb.Snapshot) error {
 	if err := n.store.Begin(snap); err != nil {
@@ -434,7 +432,7 @@
 	t := time.NewTicker(n.Terms.Renew())
 	defer t.Stop()
 	for {
-		_, changed := n.news()
+		_, changed := n.newState()
 		a, now := n.nextAsk()
 		if g, err := n.ask(a); err == nil {
 			n.heard(&g, nil)
--- a/internal/fleet/peers/release.go
+++ b/internal/fleet/peers/release.go
@@ -71,8 +71,8 @@
 	defer again.Stop()
 	err := n.propose(e)
 	for {
-		s, changed := n.newRelease()
-		if there(s.Release) {
+		s, changed := n.newState()
+		if s != nil && there(s.Release) {
 			return &Controlled{Progress: s.Release}, nil
 		}
 		select {
@@ -80,19 +80,11 @@
 		case <-again.C:
 			err = n.propose(e)
 		case <-ctx.Done():
-			return &Controlled{Error: fmt.Sprintf("it is not known whether it was taken up: %v", errors.Join(err, ctx.Err())), Progress: s.Release}, nil
+			return &Controlled{Error: fmt.Sprintf("it is not known whether it was taken up: %v", errors.Join(err, ctx.Err()))}, nil
 		}
 	}
 }
 
-// newRelease gives the state with a channel that is closed a little later.
-func (n *Node) newRelease() (*agree.State, <-chan struct{}) {
-	s, _ := n.newState()
-	later := make(chan struct{})
-	time.AfterFunc(publishPoll, func() { close(later) })
-	return s, later
-}
-
 // feasible tells why a release can't be begun: a server that isn't in use, or a floor that can't be kept.
 func feasible(r *agree.Release, c *cluster.Cluster) error {
 	if c == nil {
@@ -138,11 +130,24 @@
 	var in agree.Progress
 	var since time.Duration
 	var token uint64
-	for n.ctx.Err() == nil {
-		n.pause(releaseLook)
+	look := time.NewTicker(releaseLook)
+	defer look.Stop()
+	for {
+		s, changed := n.newState()
+		goes := s != nil && s.Release != nil && s.Release.Ended == ""
+		var tick <-chan time.Time // phases end by the clock
+		if goes {
+			tick = look.C
+		}
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-changed:
+			continue
+		case <-tick:
+		}
 		now, ok := n.Owns(ReleaseWork)
-		s := n.state()
-		if !ok || s == nil || s.Release == nil || s.Release.Ended != "" {
+		if !ok {
 			token = 0
 			continue
 		}
--- a/internal/fleet/peers/serve.go
+++ b/internal/fleet/peers/serve.go
@@ -8,7 +8,6 @@
 	"math"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -27,13 +26,12 @@
 )
 
 const (
-	maxConns    = agree.MaxHolders + 256
-	maxStreams  = 64 // calls of a connection at once
-	maxPuts     = 4  // contents that come at once
-	maxHead     = 16 << 10
-	pingAfter   = 2 * time.Second
-	publishPoll = 5 * time.Millisecond
-	publishFor  = 10 * time.Second // the longest that a publish waits to be taken up
+	maxConns   = agree.MaxHolders + 256
+	maxStreams = 64 // calls of a connection at once
+	maxPuts    = 4  // contents that come at once
+	maxHead    = 16 << 10
+	pingAfter  = 2 * time.Second
+	publishFor = 10 * time.Second // the longest that a publish waits to be taken up
 )
 
 // Serve answers other nodes on a listener until ctx ends.
@@ -118,7 +116,7 @@
 		}
 	}()
 	for {
-		facts, changed := n.news()
+		_, changed := n.newState()
 		var r Reply
 		select {
 		case err := <-failed:
@@ -133,7 +131,11 @@
 				r.Grant = &g
 			}
 		case <-changed:
-			facts, _ = n.news()
+			s := n.state()
+			if s == nil {
+				return errNoVoter
+			}
+			facts := s.Facts()
 			r.News = &facts
 		}
 		out, err := pack(r)
@@ -259,12 +261,15 @@
 			return &Published{Error: err.Error(), Present: state.Number}, nil
 		}
 	}
+	if err := state.May(m); errors.Is(err, agree.ErrWaiting) { // before anything is read for it
+		return &Published{Error: err.Error(), Again: true, Present: state.Number}, nil
+	}
 	next, err := n.read(ctx, &whole)
 	if err != nil {
 		return &Published{Error: err.Error(), Present: state.Number}, nil
 	}
 	if err := state.May(m); err != nil {
-		out := &Published{Error: err.Error(), Again: errors.Is(err, agree.ErrWaiting), Present: state.Number}
+		out := &Published{Error: err.Error(), Present: state.Number}
 		if present, err := n.version(ctx, state, state.Number); err == nil {
 			for _, d := range agree.Differences(present, next) {
 				if out.Differs = append(out.Differs, d.String()); len(out.Differs) == 100 {
@@ -286,13 +291,14 @@
 	}
 	again := time.NewTicker(time.Second) // a leader may be lost with it; its id keeps it one
 	defer again.Stop()
-	for first := true; ; first = false {
-		if first {
-			if err := n.propose(&agree.Entry{Propose: m}); err != nil {
-				return &Published{Error: err.Error(), Again: true, Present: state.Number}, nil
-			}
-		}
+	if err := n.propose(&agree.Entry{Propose: m}); err != nil {
+		return &Published{Error: err.Error(), Again: true, Present: state.Number}, nil
+	}
+	for {
 		state, changed := n.newState()
+		if state == nil { // its disk failed: another voter knows
+			return nil, errNoVoter
+		}
 		if out := outcome(state, in.ID); out != nil {
 			n.heldMu.Lock()
 			n.keep(state.Version(out.Number), next) // it was read already
@@ -370,12 +376,3 @@
 
 // ID is the voter's in the log.
 func (v Voter) ID() uint64 { return voterID(v.Name) }
-
-// ParseVoter reads NAME=HOST:PORT.
-func ParseVoter(text string) (Voter, error) {
-	name, address, ok := strings.Cut(text, "=")
-	if _, _, err := net.SplitHostPort(address); !ok || name == "" || len(name) > agree.MaxName || err != nil {
-		return Voter{}, fmt.Errorf("%q is not NAME=HOST:PORT", text)
-	}
-	return Voter{name, address}, nil
-}
--- a/internal/fleet/store/life.go
+++ b/internal/fleet/store/life.go
@@ -1,8 +1,6 @@
 package store
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 
 	"go.etcd.io/bbolt"
@@ -17,16 +15,14 @@
 
 var keyLife = []byte("life")
 
-// NextLife counts a start of the voter whose store this is.
-func (s *Store) NextLife(name string) (life Life, err error) {
-	nonce := make([]byte, 8)
-	rand.Read(nonce)
+// NextLife counts a start of the voter whose store this is; the nonce is of this start alone.
+func (s *Store) NextLife(name, nonce string) (life Life, err error) {
 	err = s.update(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
 		if err := getJSON(meta, keyLife, &life); err != nil {
 			return err
 		}
-		life = Life{name, life.Count + 1, hex.EncodeToString(nonce)}
+		life = Life{name, life.Count + 1, nonce}
 		return putJSON(meta, keyLife, life)
 	})
 	return life, err
