--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -178,11 +178,11 @@
 		RunE: func(_ *cobra.Command, paths []string) error {
 			bad := false
 			for _, path := range paths {
-				warn, err := files.Check(path)
+				s, warn, err := files.Check(path)
 				for _, w := range warn {
 					fmt.Fprintln(out, "warning:", w)
 				}
-				if s, bad := files.Load(path); bad == nil && s.Program.Agree.On() {
+				if err == nil && s != nil && s.Program.Agree.On() {
 					t := s.Program.Agree.Terms
 					fmt.Fprintf(out, "%s: a version that contradicts is in force, and acted on by no one else than by all, %v after it is taken up at the latest;\n"+
 						"  a node acts on its rules for %v without a word from a majority of the voters, and then alone\n", path, t.Bound().Round(time.Millisecond), t.Hold().Round(time.Millisecond))
--- a/internal/files/files.go
+++ b/internal/files/files.go
@@ -64,26 +64,26 @@
 }
 
 // Check checks one file of the configuration: the program's own, with the cluster files and
-// the keys that it points to, or a cluster file alone. The warnings are of what will be wrong
+// the keys that it points to, which it gives then, or a cluster file alone. The warnings are of what will be wrong
 // before long.
-func Check(path string) (warnings []string, err error) {
+func Check(path string) (s *Snapshot, warnings []string, err error) {
 	total := 0
 	text, _, err := readFile(path, &total)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if xdsfile.Is(path) {
-		return nil, checkXDS(path, text)
+		return nil, nil, checkXDS(path, text)
 	}
 	if config.IsCluster(text) {
 		_, err = config.ParseCluster(config.File{Name: path, Text: text})
-		return nil, err
+		return nil, nil, err
 	}
-	s, err := Load(path)
-	if err != nil || s.Program.Keys.Folder == "" {
-		return nil, err
+	if s, err = Load(path); err != nil || s.Program.Keys.Folder == "" {
+		return s, nil, err
 	}
-	return checkKeys(Beside(path, s.Program.Keys.Folder), s)
+	warnings, err = checkKeys(Beside(path, s.Program.Keys.Folder), s)
+	return s, warnings, err
 }
 
 // checkKeys checks the keys, and that each entry that something refers to is there.
--- a/internal/files/files_test.go
+++ b/internal/files/files_test.go
@@ -339,14 +339,14 @@
 	if len(f.got) > 0 {
 		t.Error("a part is taken for the whole")
 	}
-	if _, err := Check(file); err == nil || !strings.Contains(err.Error(), "is not whole") {
+	if _, _, err := Check(file); err == nil || !strings.Contains(err.Error(), "is not whole") {
 		t.Errorf("check says %v", err)
 	}
 	f.put(file, suites(3)+"...\n")
 	if c := f.next().Version.Clusters["suites"]; c.Endpoints[0].Address != "127.0.0.1:3" {
 		t.Errorf("then %+v", c)
 	}
-	if _, err := Check(file); err != nil {
+	if _, _, err := Check(file); err != nil {
 		t.Errorf("check says %v", err)
 	}
 }
