--- a/internal/standin/fleet/script.go
+++ b/internal/standin/fleet/script.go
@@ -128,8 +128,7 @@
 	kinds := append([]Kind{Stop, Kill, Empty}, ofLinks...)
 	var list []Fault
 	for range count {
-		from := time.Duration(rng.Int64N(int64(length*3/4))).Truncate(time.Millisecond) + length/20
-		f := Fault{From: from, To: from + length/20 + time.Duration(rng.Int64N(int64(length/5))).Truncate(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))]}
+		f := drawn(rng, kinds, length, length/5)
 		f.Nodes = []int{rng.IntN(nodes)}
 		if slices.Contains(ofNodes, f.Kind) {
 			f.Nodes[0] = rng.IntN(max(1, nodes-1)) // the last one goes on
@@ -140,14 +139,29 @@
 				}
 			}
 		}
-		switch f.Kind {
-		case Delay:
-			f.By = time.Duration(1+rng.Int64N(300)) * time.Millisecond
-		case Slow:
-			f.Rate = 200 + rng.IntN(20_000)
-		}
+		f.figures(rng, 300, 200, 20_000)
 		list = append(list, f)
 	}
+	return inOrder(list)
+}
+
+// drawn is a fault of one of the kinds that begins within a length, and lasts for a twentieth of it and up to most.
+func drawn(rng *rand.Rand, kinds []Kind, length, most time.Duration) Fault {
+	from := time.Duration(rng.Int64N(int64(length*3/4))).Truncate(time.Millisecond) + length/20
+	return Fault{From: from, To: from + length/20 + time.Duration(rng.Int64N(int64(most))).Truncate(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))]}
+}
+
+// figures draws those of a fault's kind: a delay up to so many milliseconds, a rate from so many bytes a second up.
+func (f *Fault) figures(rng *rand.Rand, by int64, rate, more int) {
+	switch f.Kind {
+	case Delay:
+		f.By = time.Duration(1+rng.Int64N(by)) * time.Millisecond
+	case Slow:
+		f.Rate = rate + rng.IntN(more)
+	}
+}
+
+func inOrder(list []Fault) []Fault {
 	slices.SortStableFunc(list, func(x, y Fault) int { return cmp.Compare(x.From, y.From) })
 	return list
 }
@@ -185,8 +199,7 @@
 		down = rng.IntN(voters)
 	}
 	for range count - len(list) {
-		from := time.Duration(rng.Int64N(int64(length*3/4))).Truncate(time.Millisecond) + length/20
-		f := Fault{From: from, To: from + length/20 + time.Duration(rng.Int64N(int64(length/3))).Truncate(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))]}
+		f := drawn(rng, kinds, length, length/3)
 		n := rng.IntN(nodes)
 		if slices.Contains(ofNodes, f.Kind) && n < voters {
 			n = down
@@ -199,16 +212,10 @@
 				}
 			}
 		}
-		switch f.Kind {
-		case Delay:
-			f.By = time.Duration(1+rng.Int64N(500)) * time.Millisecond
-		case Slow:
-			f.Rate = 1000 + rng.IntN(50_000)
-		}
+		f.figures(rng, 500, 1000, 50_000)
 		list = append(list, f)
 	}
-	slices.SortStableFunc(list, func(x, y Fault) int { return cmp.Compare(x.From, y.From) })
-	return list
+	return inOrder(list)
 }
 
 // DrawPower draws a script in which all processes lose power at one moment, twice, and come back one by one; one of those that don't vote may
