--- a/internal/app/running.go
+++ b/internal/app/running.go
@@ -137,10 +137,7 @@
 func (r *running) Do(ctx context.Context, q *engine.Request) (engine.Answer, error) {
 	a, err := r.do(ctx, q)
 	for range handOvers {
-		if !r.retired.Load() || err != nil && err != engine.ErrRetired || err == nil && (a.Verdict == engine.Served || a.Value != nil && a.Verdict != engine.Refused) {
-			break
-		}
-		if err == nil && a.MayHaveRun && r.settings.Classes[q.Class].Effect != policy.Safe {
+		if !r.retired.Load() || !r.unserved(q, a, err) {
 			break
 		}
 		next := r.app.state.Load().clusters[r.name]
@@ -157,6 +154,18 @@
 	return a, err
 }
 
+// unserved tells whether a request may be begun anew by what came of it: no server has said anything for its client, and
+// nothing of it has run, or it may run again.
+func (r *running) unserved(q *engine.Request, a engine.Answer, err error) bool {
+	switch {
+	case err != nil:
+		return err == engine.ErrRetired
+	case a.Verdict == engine.Served, a.Verdict == engine.Failed && a.Value != nil:
+		return false
+	}
+	return !a.MayHaveRun || r.settings.Classes[q.Class].Effect == policy.Safe
+}
+
 // anew gives a request of another cluster as one of this; false: it is still coming, can't
 // be sent from its beginning, or its class is another.
 func (r *running) anew(from *running, q *engine.Request) (*engine.Request, bool) {
