--- a/internal/app/agreed_test.go
+++ b/internal/app/agreed_test.go
@@ -53,9 +53,8 @@
 		if err := source.Take(agree.Acting{Version: &agree.Version{Program: parse(t, text), Clusters: snapshot(own, list).Version.Clusters}}); err != nil {
 			t.Fatal(err)
 		}
-		for n := asked.Load(); asked.Load() < n+5; { // some are asked under each
-			time.Sleep(100 * time.Microsecond)
-		}
+		n := asked.Load()
+		testkit.Until(t, "some to be asked under these settings", func() bool { return asked.Load() >= n+5 })
 	}
 	close(stop)
 	run.Wait()
--- a/internal/fleet/peers/change_test.go
+++ b/internal/fleet/peers/change_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"yokestall/internal/config"
+	"yokestall/internal/fleet/agree"
+	"yokestall/internal/testkit"
 )
 
 // many is a version with a long list.
@@ -55,9 +57,7 @@
 				t.Fatalf("%+v", p)
 			}
 		}
-		for g.nodes[0].node.state().Number != base {
-			time.Sleep(100 * time.Microsecond)
-		}
+		testkit.Until(t, "it to be in force", func() bool { return g.nodes[0].node.state().Number == base })
 	}
 	took := time.Since(began)
 	if bad, err := g.client.Change(g.patience(), "bad", base, config.File{Name: "c", Text: []byte("[cluster]\nname = \"rooms\"\nchange = true\nremoved = [\"s-none\"]\n[end]\nendpoints = 0\n")}); err != nil || bad.Number != 0 || !strings.Contains(bad.Error, "not in the list") {
@@ -68,17 +68,15 @@
 		t.Fatalf("%+v, %v", drain, err)
 	}
 	for i, n := range g.nodes {
-		for {
+		var v *agree.Version
+		testkit.Until(t, n.name+" to hold it", func() bool {
 			n.node.heldMu.Lock()
-			v := n.node.held[drain.Number]
-			n.node.heldMu.Unlock()
-			if v != nil {
-				if c := v.Clusters["rooms"]; len(c.Endpoints) != endpoints || c.Endpoints[7].Serves() || !c.Endpoints[8].Serves() {
-					t.Errorf("%s has another list", n.name)
-				}
-				break
-			}
-			time.Sleep(time.Millisecond)
+			defer n.node.heldMu.Unlock()
+			v = n.node.held[drain.Number]
+			return v != nil
+		})
+		if c := v.Clusters["rooms"]; len(c.Endpoints) != endpoints || c.Endpoints[7].Serves() || !c.Endpoints[8].Serves() {
+			t.Errorf("%s has another list", n.name)
 		}
 		n.mu.Lock()
 		if most := changes / 4; n.parsed > most { // a reader may be faster than its base's
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -200,17 +200,13 @@
 // publish publishes until it is known what became of it.
 func (g *group) publish(id string, base uint64, list []config.File) *Published {
 	g.t.Helper()
-	ctx := g.patience()
-	for {
-		p, err := g.client.Publish(ctx, id, base, list)
-		if err == nil && (p.Number > 0 || !p.Again) {
-			return p
-		}
-		if ctx.Err() != nil {
-			g.t.Fatal(err, p)
-		}
-		time.Sleep(10 * time.Millisecond) // between tries of an operator, who sees the fleet elect a leader
-	}
+	var out *Published
+	testkit.Until(g.t, "word of the publish "+id, func() bool {
+		p, err := g.client.Publish(g.patience(), id, base, list)
+		out = p
+		return err == nil && (p.Number > 0 || !p.Again)
+	})
+	return out
 }
 
 func (g *group) inForce(number uint64) Outcome {
--- a/internal/lab/versions.go
+++ b/internal/lab/versions.go
@@ -78,13 +78,14 @@
 
 	asks, served, refused, failed atomic.Int64
 	acked                         map[uint64]string // ids of versions that were acknowledged, by number
+	news                          chan struct{}     // something was served
 	mu                            sync.Mutex
 	last                          map[int]int // by process: the stamp of the last request that it had served
 }
 
 // PlayVersions plays a run in a folder, with processes started by a command.
 func PlayVersions(ctx context.Context, v Versions, dir string, command, env []string) (out *VersionsOutcome, err error) {
-	r := &versionRun{Versions: v, last: map[int]int{}, acked: map[uint64]string{}}
+	r := &versionRun{Versions: v, last: map[int]int{}, acked: map[uint64]string{}, news: make(chan struct{}, 1)}
 	r.client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer r.client.CloseIdleConnections()
 	defer func() {
@@ -379,6 +380,10 @@
 			r.mu.Lock()
 			r.last[node] = stamp
 			r.mu.Unlock()
+			select {
+			case r.news <- struct{}{}:
+			default:
+			}
 		}
 	case http.StatusServiceUnavailable:
 		r.refused.Add(1)
@@ -462,7 +467,8 @@
 
 // settled waits until each process has served by the last version what is not safe.
 func (r *versionRun) settled(ctx context.Context, last int) error {
-	until := time.Now().Add(versionSettle)
+	ctx, stop := context.WithTimeout(ctx, versionSettle)
+	defer stop()
 	for {
 		behind := ""
 		r.mu.Lock()
@@ -475,10 +481,11 @@
 		if behind == "" {
 			return nil
 		}
-		if ctx.Err() != nil || time.Now().After(until) {
+		select {
+		case <-r.news:
+		case <-ctx.Done():
 			return fmt.Errorf("not on version %d, %v after all was well:%s", last, versionSettle, behind)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 }
 
