--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -61,7 +61,6 @@
 	mu               sync.Mutex
 	parsed, extended int
 	acts             []string // effects of the class, as they were taken; "-" where it is refused
-	moved            chan struct{}
 }
 
 func newGroup(t testing.TB, voters, followers int, keys ...*tlskeys.Store) *group {
@@ -72,7 +71,7 @@
 func newGroupOf(t testing.TB, voters, followers int, with func(i int, c *Config), keys ...*tlskeys.Store) *group {
 	g := &group{t: t, dir: t.TempDir(), keys: keys, with: with}
 	for i := range voters + followers {
-		n := &one{name: fmt.Sprint("n", i), moved: make(chan struct{}, 100)}
+		n := &one{name: fmt.Sprint("n", i)}
 		if i < voters {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -144,10 +143,6 @@
 				word = "-"
 			}
 			n.acts = append(n.acts, word)
-			select {
-			case n.moved <- struct{}{}:
-			default:
-			}
 			return nil
 		},
 	}
@@ -222,18 +217,11 @@
 func (g *group) acts(i int, effect string) {
 	g.t.Helper()
 	n := g.nodes[i]
-	for {
+	testkit.Until(g.t, n.name+" to act on "+effect, func() bool {
 		n.mu.Lock()
-		now := ""
-		if len(n.acts) > 0 {
-			now = n.acts[len(n.acts)-1]
-		}
-		n.mu.Unlock()
-		if now == effect && n.node.May() {
-			return
-		}
-		testkit.Wait(g.t, n.moved, n.name+" to act on "+effect)
-	}
+		defer n.mu.Unlock()
+		return len(n.acts) > 0 && n.acts[len(n.acts)-1] == effect && n.node.May()
+	})
 }
 
 // Two publishers at once, the same publish twice, a way back, and what a version that contradicts looks like from a node.
