Cap a stop at the 3 s that the platform counts of a deadline

Lines at fault: planStop (internal/node/stop.go) took the longest deadline as it stands, while the protocol counts one over 3 s as 3 s.

Change: the plan counts 3 s at most, so a stop is over 0.2 s before the kill. The log says what the stop was planned for.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,9 +151,9 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	n.log.Info("stopping")
 	began := time.Now()
 	plan := planStop(n.cfg.longestDeadline())
+	n.log.Info("stopping", "longest deadline", n.cfg.longestDeadline(), "over within", plan.whole)
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(plan.whole))
 	defer cancel()
 	last := time.AfterFunc(time.Until(began.Add(plan.abandons())), cluster.Abandon)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -6,9 +6,12 @@
 	// frontNotice is how long connections are still dealt to a node that stops,
 	// and how long none of its clients must have asked for it to stop early.
 	frontNotice = 500 * time.Millisecond
-	// stopSlack is what a stop may take beyond the longest deadline. The node is
-	// killed 0.7 s after that.
-	stopSlack = 500 * time.Millisecond
+	// stopSlack is what a stop may take beyond the longest deadline. The platform kills the
+	// node 0.7 s after that, and counts a deadline of more than stopDeadline as that much
+	// (the protocol's figures on planned restarts): a stop that waited for a longer one
+	// would be cut off with all that is open.
+	stopSlack    = 500 * time.Millisecond
+	stopDeadline = 3 * time.Second
 	// stopTail is the last part of a stop, in which nothing new is taken, and
 	// stopAnswers the end of that, in which what is still open is answered.
 	stopTail    = 300 * time.Millisecond
@@ -20,7 +23,9 @@
 	whole time.Duration // when the stop is over
 }
 
-func planStop(longestDeadline time.Duration) stopPlan { return stopPlan{longestDeadline + stopSlack} }
+func planStop(longestDeadline time.Duration) stopPlan {
+	return stopPlan{min(longestDeadline, stopDeadline) + stopSlack}
+}
 
 // serves tells whether requests are still taken. The clients here may have no other node
 // to go to: they are served for as long as they ask and the stop may take. asked is when
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"net/http"
 	"testing"
 	"time"
+
+	"yokestall/internal/testkit"
 )
 
 // A node that stops serves on while its clients ask, for 500 ms at least (connections
@@ -31,3 +34,44 @@
 		t.Errorf("%v, answers at %v", p.whole, p.abandons())
 	}
 }
+
+// The platform counts a deadline over 3 s as 3 s and kills the node 0.7 s behind it: a stop
+// has answered everything by then, whatever the deadlines are.
+func TestStopEndsBeforeTheKill(t *testing.T) {
+	t.Parallel()
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 1900 * time.Millisecond, 3 * time.Second, 3100 * time.Millisecond, 8 * time.Second, time.Minute} {
+		killed := min(deadline, 3*time.Second) + 700*time.Millisecond
+		p := planStop(deadline)
+		if margin := killed - p.whole; margin < 200*time.Millisecond {
+			t.Errorf("deadline %v: the stop takes %v, the node is killed after %v", deadline, p.whole, killed)
+		}
+		if p.serves(p.abandons(), p.abandons()) {
+			t.Errorf("deadline %v: requests are still taken as what is open gets its last answer", deadline)
+		}
+	}
+}
+
+// A request with a deadline over 3 s that is out at a server which hangs gets its answer
+// before the node is killed, not at its own time, and the node has ended by then. The
+// deadline here is 8 s: 5 s lie between the kill and where the answer came without the cap.
+func TestStopCutsLongDeadlines(t *testing.T) {
+	t.Parallel()
+	b := testkit.NewBackend(t, silent(make(chan struct{}, 1)))
+	n, _ := startReady(t, b)
+	held := make(chan reply, 1)
+	go func() { held <- n.do(n.request("pay")) }()
+	testkit.Wait(t, b.Got, "the request")
+	n.stop()
+	late := time.After(6 * time.Second)
+	select {
+	case a := <-held:
+		if a.status != http.StatusBadGateway {
+			t.Errorf("status %d", a.status)
+		}
+	case <-late:
+		t.Fatal("no answer when the node would have been killed for long")
+	}
+	if err := testkit.Wait(t, n.done, "the end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
