Look again beside a watch that is in doubt, within the grace that the settings give

Checked: the watch that fell silent was opened at about 0.2 s; wait 5 s and slack 2 s ended it at 7.2 s, the very moment from which its news counts, then came the module's pause of 0.25 to 0.75 s, then the call. Lines at fault: watchWait, watchSlack and the pause in discovery.follow.

The engine's grace is an option, a fifth of the settings' one. A node holds its start back until its agent is heard, half a grace at most, and is ready after 1 s by the known list if it is silent. A new address takes over when it has given its list. DrainGraceMs that makes no sense is an error; without it the strictest known grace holds.

TestAgentSilentForLong and -AtTheStart bound it.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -90,7 +90,7 @@
 }
 
 // Begin asks for leave to send. It is true once at most: not after the request's final
-// answer, nor DrainGrace after word that the server drains, nor where Request.May says no.
+// answer, nor Options.DrainGrace after word that the server drains, nor where Request.May says no.
 func (c *Call) Begin() bool {
 	if c.server == nil { // of NewCall
 		return c.gate.CompareAndSwap(unsent, begun)
@@ -111,7 +111,7 @@
 // BeginUndrained is Begin for a send that somebody else is told to begin: it is false as soon as
 // word of the server's drain has come, so that all of the grace is theirs.
 func (c *Call) BeginUndrained() bool {
-	if c.server != nil && c.server.until.Load() != 0 {
+	if c.server != nil && c.server.told.Load() != 0 {
 		c.Revoke()
 	}
 	return c.Begin()
@@ -131,21 +131,20 @@
 	if s.member == nil {
 		return 0, false
 	}
-	until := s.member.until.Load()
-	return time.Duration(until) - DrainGrace, until != 0
+	at := s.member.told.Load()
+	return time.Duration(at), at != 0
 }
 
 // member is a server of the list, from its first line until a line says that it drains
 // or is gone. A server that comes back is another member.
 type member struct {
-	until atomic.Int64 // on the clock, after which nothing may be sent; 0: no such time
+	grace time.Duration // from told on, in which what was decided before may be sent
+	told  atomic.Int64  // on the clock, when word came that it drains or is gone; 0: none did
 }
 
 func (m *member) barred(now time.Duration) bool {
-	until := m.until.Load()
-	return until != 0 && now > time.Duration(until)
+	told := m.told.Load()
+	return told != 0 && now > time.Duration(told)+m.grace
 }
 
-func (m *member) bar(told time.Duration) {
-	m.until.CompareAndSwap(0, int64(max(1, told+DrainGrace)))
-}
+func (m *member) bar(told time.Duration) { m.told.CompareAndSwap(0, int64(max(1, told))) }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,8 +5,8 @@
 //   - each send has exactly one outcome, told to the Balancer once;
 //   - each request gets exactly one final answer, 5 ms after its end at the latest;
 //   - nothing goes out for a request that has its final answer;
-//   - nothing new goes to a server DrainGrace after the engine was told that it drains
-//     or is gone, whatever was decided before.
+//   - nothing new goes to a server Options.DrainGrace after the engine was told that it
+//     drains or is gone, whatever was decided before.
 package engine
 
 import (
@@ -22,9 +22,8 @@
 )
 
 const (
-	// DrainGrace is how long after word of a drain a send that had been decided before
-	// may still begin. The rule is 500 ms; the rest is for the clock's and the
-	// socket's delays.
+	// DrainGrace is Options.DrainGrace where that is 0. The product's promise is 500 ms;
+	// the rest is for the clock's and the socket's delays.
 	DrainGrace = 400 * time.Millisecond
 	// backstop is how long after a request's end the engine waits for the Balancer's
 	// answer before it gives one itself.
@@ -96,6 +95,10 @@
 type Options struct {
 	Seed  uint64
 	Clock Clock
+	// DrainGrace is how long after word of a drain a send that had been decided before may
+	// still begin; 0: the constant of that name. Whoever has a figure from its settings gives a
+	// part of it, which leaves the rest to the word's own way here.
+	DrainGrace time.Duration
 	// Watch is called where the Balancer wants to follow a list that has to be asked
 	// for; nil if lists are pushed. It must not block.
 	Watch func()
@@ -112,6 +115,7 @@
 	stop  context.CancelFunc
 	clock Clock
 	ex    Exchanger
+	grace time.Duration // Options.DrainGrace
 	watch func()
 	sent  func(server policy.ServerID, at time.Duration)
 
@@ -170,6 +174,9 @@
 		members: map[policy.ServerID]*member{}, requests: map[policy.RequestID]*Request{},
 		maxTries: set.Limits.MaxAttempts,
 	}
+	if c.grace = o.DrainGrace; c.grace == 0 {
+		c.grace = DrainGrace
+	}
 	var err error
 	if c.balancer, err = policy.New(set, o.Seed, c); err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
@@ -376,7 +383,7 @@
 }
 
 // Retire takes no more requests, has those open finish without anything new going out
-// DrainGrace from now, and ends the cluster then. It does not wait.
+// Options.DrainGrace from now, and ends the cluster then. It does not wait.
 func (c *Cluster) Retire() {
 	c.Members(policy.ListFull, nil)
 	c.retired.Store(true)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -43,7 +43,13 @@
 
 func start(t testing.TB, ex Exchanger, servers ...policy.ServerID) *Cluster {
 	t.Helper()
-	c, err := New(context.Background(), settings(), ex, Options{Seed: 1, Clock: NewClock()})
+	return startWith(t, ex, Options{}, servers...)
+}
+
+func startWith(t testing.TB, ex Exchanger, o Options, servers ...policy.ServerID) *Cluster {
+	t.Helper()
+	o.Seed, o.Clock = 1, NewClock()
+	c, err := New(context.Background(), settings(), ex, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +157,7 @@
 			go c.Do(t.Context(), c.request(2, testkit.Patience))
 			call := <-waiting
 			c.Members(news.kind, news.entries)
-			if call.server.until.Load() == 0 {
+			if call.server.told.Load() == 0 {
 				t.Fatal("the server is not barred when Members returns")
 			}
 			testkit.Until(t, "the grace to end", func() bool { return call.server.barred(c.clock.Now()) })
@@ -187,6 +193,26 @@
 	}
 }
 
+// The grace is the one that the options give, not a constant: a
+// deployment may allow less than that.
+func TestGraceOfTheOptions(t *testing.T) {
+	const grace = 50 * time.Millisecond
+	waiting, connected, began := make(chan *Call, 4), make(chan struct{}), make(chan bool, 4)
+	c := startWith(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
+		waiting <- call
+		<-connected
+		began <- call.Begin()
+		return Result{Status: policy.Moot}
+	}), Options{DrainGrace: grace}, 1)
+	go c.Do(t.Context(), c.request(2, testkit.Patience))
+	<-waiting
+	c.MembersAt(c.clock.Now()-grace-1, policy.ListDelta, []policy.Entry{{Server: 1, State: policy.Draining}})
+	close(connected)
+	if <-began {
+		t.Error("a send after the grace")
+	}
+}
+
 // News counts from its delivery: what was delivered a grace ago bars sends at once.
 func TestNewsDeliveredEarlier(t *testing.T) {
 	waiting, connected, began := make(chan *Call, 4), make(chan struct{}), make(chan bool, 4)
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -8,7 +8,7 @@
 )
 
 // Members takes news of the list of servers. The time of the news is that of the call:
-// from DrainGrace after it nothing is sent to a server that drains, is gone or, with a
+// from Options.DrainGrace after it nothing is sent to a server that drains, is gone or, with a
 // whole list, is not on it. False if the cluster has ended.
 func (c *Cluster) Members(kind policy.ListKind, entries []policy.Entry) bool {
 	return c.MembersAt(c.clock.Now(), kind, entries)
@@ -40,7 +40,7 @@
 			continue
 		}
 		if m == nil {
-			m = &member{}
+			m = &member{grace: c.grace}
 		}
 		c.members[e.Server] = m
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 
 	"yokestall/internal/handover"
 	"yokestall/internal/idle"
+	"yokestall/internal/registry"
 	"yokestall/internal/wire"
 	"yokestall/policy"
 )
@@ -38,19 +39,30 @@
 	Classes        map[string]int // name to index in Policy.Classes
 	Tenants        map[string]int // name to index in Policy.Tenants
 	Zones          map[string]int
+	DrainGrace     time.Duration // from word of a drain on, in which sends to a server have to end
 	ConnIdle       time.Duration // servers close a connection that was idle for so long
 	ConnectTimeout time.Duration
 	IdlePrices     idle.Prices
 	ListPrice      float64      // for a hundred lines a request
 	ClientsPart    float64      // of all descriptors, for client connections that have asked; 0.1 to 1
 	Log            *slog.Logger // nil: the default one
+
+	terms registry.Terms // of calls to discovery; zero: by the settings
 }
 
+const (
+	// strictestGrace is the grace of drains where the settings have none: what is not told is
+	// taken for as little as is known from anywhere.
+	strictestGrace = 100 * time.Millisecond
+	maxGrace       = time.Minute
+)
+
 // The names and socket figures among the settings that the module does not need.
 type nodeSettings struct {
 	Accounts, Classes []struct{ Name string }
 	Zones             []string
 	Limits            struct{ ConnIdleMs, ConnectTimeoutMs float64 }
+	Contract          struct{ DrainGraceMs *float64 }
 	Deductions        struct{ Connection, Handshake, RegistryMode float64 }
 }
 
@@ -157,6 +169,13 @@
 	for i, x := range own.Zones {
 		c.Zones[x] = i
 	}
+	c.DrainGrace = strictestGrace
+	if ms := own.Contract.DrainGraceMs; ms != nil {
+		if *ms < 0 || *ms > maxGrace.Seconds()*1000 {
+			return nil, fmt.Errorf("settings: Contract.DrainGraceMs: %v is not from 0 to %v", *ms, maxGrace.Seconds()*1000)
+		}
+		c.DrainGrace = millis(*ms)
+	}
 	c.IdlePrices = idle.Prices{Handshake: own.Deductions.Handshake, Connection: own.Deductions.Connection}
 	c.ListPrice = own.Deductions.RegistryMode
 	if d := millis(own.Limits.ConnIdleMs); d > 0 {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,14 +20,12 @@
 )
 
 const (
-	watchWait    = 5 * time.Second       // what a watch asks discovery to wait
-	watchSlack   = 2 * time.Second       // and how much longer the answer may take
-	watchPause   = 20 * time.Millisecond // a watch answered sooner is followed by such a pause
-	backoffFirst = 100 * time.Millisecond
-	backoffMost  = time.Second
-	recheckFirst = 500 * time.Millisecond // until the whole list is asked for after a doubtful answer
-	recheckMost  = time.Minute
-	maxRefusal   = 4 << 10 // bytes read of an answer that is none
+	lookWait      = time.Millisecond       // what a second look asks discovery to wait: no time
+	watchPause    = 20 * time.Millisecond  // a watch answered sooner is followed by such a pause
+	recheckFirst  = 500 * time.Millisecond // until the whole list is asked for after a doubtful answer
+	recheckMost   = time.Minute
+	complainEvery = time.Second
+	maxRefusal    = 4 << 10 // bytes read of an answer that is none
 )
 
 // known is the list as a node last had it, as its configuration holds it.
@@ -38,27 +37,40 @@
 
 // discovery follows the list of servers.
 type discovery struct {
+	to     listener
+	zones  map[string]int
+	asked  bool // calls load discovery: the module says when to start a watch
+	terms  registry.Terms
+	wanted chan struct{}
+	moved  <-chan string // the latest address to follow the list at
+	first  chan struct{} // closed once a list was told, or is waited for no longer
+	clock  engine.Clock
+	log    *slog.Logger
+	price  float64      // of a hundred lines a request
+	taken  func() int64 // requests so far; nil: nobody counts
+	since  time.Time    // the start
+	begun  func()       // called once the first list was told; nil: nothing is
+
+	mu        sync.Mutex // guards what follows, and keeps news in their order
+	list      registry.Known
+	admin     maint.State
+	source    *source       // whose list it is
+	told      bool          // a list was
+	recheck   registry.Pace // after answers in doubt
+	recheckAt time.Time     // when all is asked for again; zero: no need
+}
+
+// source is one address of discovery.
+type source struct {
 	url        string
-	to         listener
-	zones      map[string]int
-	asked      bool // watches load discovery: the module says when to start one
-	wanted     chan struct{}
-	moved      <-chan string // the latest address to follow the list at
-	listed     bool          // a list is at hand; its generation may well be 0
-	generation uint64
-	mu         sync.Mutex // guards list and admin, and keeps news in their order
-	list       registry.Known
-	admin      maint.State
-	pace       registry.Pace // after failures
-	recheck    registry.Pace // after answers in doubt
-	recheckAt  time.Time     // when all is asked for again; zero: no need
 	client     *http.Client
-	clock      engine.Clock
-	log        *slog.Logger
-	price      float64      // of a hundred lines a request
-	taken      func() int64 // requests so far; nil: nobody counts
-	since      time.Time    // the start
-	begun      func()       // called once the list that it starts from was told; nil: nothing is
+	pace       registry.Pace // after failures; of follow's goroutine, as is
+	complained time.Time     // when a failure was last logged
+	leave      context.CancelFunc
+	// What follows is guarded by discovery.mu.
+	listed     bool // it has given its list; the generation may well be 0
+	generation uint64
+	over       func() // called once, when it has given its list: it takes over from another one
 }
 
 // listener takes news of the list: where servers are, and what decides makes of it.
@@ -68,17 +80,36 @@
 }
 
 func newDiscovery(cfg *Config, clock engine.Clock, moved <-chan string, log *slog.Logger) *discovery {
-	return &discovery{
-		url: listURL(cfg.Discovery), zones: cfg.Zones, moved: moved,
-		asked: cfg.Policy.ListAsked, wanted: make(chan struct{}, 1),
-		pace:    registry.Pace{First: backoffFirst, Most: backoffMost},
+	terms := cfg.terms
+	switch {
+	case terms.Most > 0:
+	case cfg.Policy.ListAsked:
+		terms = registry.Asked()
+	default:
+		terms = registry.Pushed(cfg.DrainGrace)
+	}
+	d := &discovery{
+		zones: cfg.Zones, moved: moved,
+		asked: cfg.Policy.ListAsked, terms: terms, wanted: make(chan struct{}, 1), first: make(chan struct{}),
 		recheck: registry.Pace{First: recheckFirst, Most: recheckMost},
-		client:  &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
 		clock:   clock,
 		log:     log,
 		price:   cfg.ListPrice,
 		since:   time.Now(),
 	}
+	d.source = d.at(cfg.Discovery)
+	return d
+}
+
+// at gives a source that nobody follows yet.
+func (d *discovery) at(addr string) *source {
+	// A connection that never comes up must not outlive many calls: they are bounded, it is not.
+	dialer := net.Dialer{Timeout: d.terms.Look, KeepAlive: -1}
+	return &source{
+		url:    "http://" + addr + "/registry/instances",
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
+		pace:   d.terms.Pace,
+	}
 }
 
 // watch has a watch of the list started.
@@ -89,51 +120,86 @@
 	}
 }
 
-func listURL(addr string) string { return "http://" + addr + "/registry/instances" }
-
-// run starts from the list as it was known and follows it until the context
-// ends. When discovery moves, the watch at the old address ends and the new one
-// is asked for the whole list; the node serves by the old list meanwhile.
+// run starts from the list as it was known and follows it until the context ends. Where lists are
+// pushed, what the agent has counts from the first moment on: it is heard before the known list is
+// gone by, unless it is silent. When discovery moves, the list is followed at the old address until
+// the new one has given its own.
 func (d *discovery) run(ctx context.Context, last known, ready func()) {
-	d.generation = last.Generation
-	d.listed = len(last.Instances) > 0
-	if d.listed {
+	d.mu.Lock()
+	s := d.source
+	s.generation, s.listed = last.Generation, len(last.Instances) > 0
+	d.mu.Unlock()
+	var following sync.WaitGroup
+	defer following.Wait()
+	follow := func(s *source, watching bool) {
+		here, leave := context.WithCancel(ctx)
+		s.leave = leave
+		following.Go(func() {
+			defer s.client.CloseIdleConnections()
+			d.follow(here, s, watching, ready)
+		})
+	}
+	known := func(settled func()) {
 		d.mu.Lock()
-		d.tell(policy.ListCached, d.list.Whole(&registry.Answer{Reset: true, Lines: last.Instances}))
-		d.mu.Unlock()
-		if d.begun != nil {
-			d.begun()
+		defer d.mu.Unlock()
+		if d.told {
+			return
+		}
+		if len(last.Instances) > 0 {
+			d.tell(policy.ListCached, d.list.Whole(&registry.Answer{Reset: true, Lines: last.Instances}))
+			settled()
+		} else if d.asked {
+			d.tell(policy.ListCached, nil) // has the module ask for the list
+			d.told = false
+		} else {
+			d.settled() // the agent has nothing to say, and there is nothing else to go by
 		}
-		ready()
-	} else if d.asked {
-		d.mu.Lock()
-		d.tell(policy.ListCached, nil) // has the module ask for the list
-		d.mu.Unlock()
 	}
-	watching := !d.asked
-	for ctx.Err() == nil {
-		here, leave := context.WithCancel(ctx)
-		left := make(chan struct{})
-		go func() {
-			defer close(left)
-			d.follow(here, watching, ready)
-		}()
+	if d.asked {
+		known(ready)
+		follow(s, false)
+	} else {
+		follow(s, true)
+		held := time.AfterFunc(d.terms.Start, func() {
+			known(func() {
+				late := time.AfterFunc(d.terms.Ready-d.terms.Start, ready)
+				context.AfterFunc(ctx, func() { late.Stop() })
+			})
+		})
+		defer held.Stop()
+	}
+	var next *source
+	for {
 		select {
 		case addr := <-d.moved:
-			leave()
-			<-left
 			d.log.Info("discovery moves", "addr", addr)
-			d.client.CloseIdleConnections()
-			d.url, d.listed, watching = listURL(addr), false, true
+			d.mu.Lock()
+			old := d.source
+			if next != nil && next != old { // it has given nothing, and is not wanted any more
+				next.leave()
+				next.over = nil
+			}
+			next = d.at(addr)
+			next.over = func() { old.leave() }
+			d.mu.Unlock()
+			follow(next, true)
 		case <-ctx.Done():
-			leave()
-			<-left
+			return
 		}
 	}
 }
 
+// settled notes that there is a list to go by, or that none is waited for. d.mu is held.
+func (d *discovery) settled() {
+	select {
+	case <-d.first:
+	default:
+		close(d.first)
+	}
+}
+
 // follow watches the list at one address until the context ends.
-func (d *discovery) follow(ctx context.Context, watching bool, ready func()) {
+func (d *discovery) follow(ctx context.Context, s *source, watching bool, ready func()) {
 	for ctx.Err() == nil {
 		if !watching {
 			select {
@@ -143,16 +209,18 @@
 			}
 		}
 		asked := time.Now()
-		answer, err := d.get(ctx)
+		answer, err := d.get(ctx, s)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			d.take(answer)
+			if !d.take(s, answer) {
+				return
+			}
 			if answer.Doubt == nil || d.serves() {
 				ready()
 			}
-			d.pace.Good()
+			s.pace.Good()
 			watching = true
 			if time.Since(asked) < watchPause {
 				// A discovery that doesn't wait must not be asked in a loop without a breath.
@@ -160,34 +228,60 @@
 			}
 			continue
 		}
-		d.log.Warn("discovery failed", "err", err)
-		if d.asked {
+		s.complain(d.log, err)
+		if d.asked && d.current(s) {
 			watching = false
 			d.to.Members(policy.ListFailed, nil) // it asks again after a while
 			continue
 		}
 		// Nodes that lost discovery together must not come back in step.
-		pause(ctx, d.pace.Failed(rand.Float64()))
+		pause(ctx, s.pace.Failed(rand.Float64()))
 	}
 }
 
+// complain logs a failure, not each one of many in a row.
+func (s *source) complain(log *slog.Logger, err error) {
+	if now := time.Now(); now.Sub(s.complained) >= complainEvery {
+		s.complained = now
+		log.Warn("discovery failed", "addr", s.url, "err", err)
+	}
+}
+
+// current tells whether a source is the one whose list it is.
+func (d *discovery) current(s *source) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.source == s
+}
+
 // take follows an answer. Where lines of it are in doubt the whole list is asked for after a
-// while; the watch goes on until then, since a line may stay as it is for good.
-func (d *discovery) take(a *registry.Answer) {
+// while; the watch goes on until then, since a line may stay as it is for good. Not ours: the list
+// is followed at another address by now.
+func (d *discovery) take(s *source, a *registry.Answer) (ours bool) {
+	var wait time.Duration
+	if a.Doubt != nil {
+		wait = max(d.recheck.Failed(rand.Float64()), d.recheckAfter())
+		d.log.Warn("list in doubt", "err", a.Doubt, "asked again after", wait)
+	}
 	d.mu.Lock()
-	d.listed, d.generation = true, a.Generation
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	switch {
+	case d.source == s:
+	case s.over == nil: // another one has taken over
+		return false
+	default:
+		s.over()
+		d.source = s
+	}
+	s.over = nil
+	s.listed, s.generation = true, a.Generation
 	switch {
 	case a.Doubt != nil:
-		wait := max(d.recheck.Failed(rand.Float64()), d.recheckAfter())
 		d.recheckAt = time.Now().Add(wait)
-		d.log.Warn("list in doubt", "err", a.Doubt, "asked again after", wait)
 	case a.Reset:
 		d.recheck.Good()
 		d.recheckAt = time.Time{}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	lines := d.list.Whole(a)
 	switch {
 	case a.Reset:
@@ -195,6 +289,7 @@
 	case len(lines) > 0:
 		d.tell(policy.ListDelta, lines)
 	}
+	return true
 }
 
 // recheckAfter is the least wait that the price of lists asks for.
@@ -236,7 +331,7 @@
 func (d *discovery) snapshot() known {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return known{Generation: d.generation, Reset: d.listed, Instances: d.list.Lines()}
+	return known{Generation: d.source.generation, Reset: d.source.listed, Instances: d.list.Lines()}
 }
 
 func (d *discovery) changes() []maint.Change {
@@ -260,27 +355,68 @@
 	}
 }
 
-// get asks for what is newer than the list at hand, and waits for it. With no
-// list at hand it asks for all.
-func (d *discovery) get(ctx context.Context) (*registry.Answer, error) {
-	url, wait := d.url, watchSlack
-	span := watchWait
+// get asks for what is newer than the list at hand, and waits for it. With no list at hand it asks
+// for all. Where the answer is overdue it looks again beside, as the terms say, and takes what comes
+// first; the error is that of the call that failed last.
+func (d *discovery) get(ctx context.Context, s *source) (*registry.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the calls that nobody waits for any more
+	d.mu.Lock()
+	wait, whole, after := d.terms.Wait, !s.listed, s.generation
 	if !d.recheckAt.IsZero() {
-		span = min(span, time.Until(d.recheckAt))
+		wait = min(wait, time.Until(d.recheckAt))
+		whole = whole || wait <= 0
+	}
+	if !d.told || whole {
+		wait = 0 // what there is is wanted now
+	}
+	d.mu.Unlock()
+	type result struct {
+		answer *registry.Answer
+		err    error
+	}
+	results := make(chan result, d.terms.Most)
+	call := func(wait, takes time.Duration) {
+		query := ""
+		if !whole {
+			query = "?after=" + strconv.FormatUint(after, 10) + "&wait_ms=" + strconv.FormatInt(max(lookWait, wait).Milliseconds(), 10)
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, takes)
+			defer cancel()
+			a, err := s.call(ctx, query, whole)
+			results <- result{a, err}
+		}()
 	}
-	whole := !d.listed || span <= 0
-	if !whole {
-		wait += span
-		url += "?after=" + strconv.FormatUint(d.generation, 10) +
-			"&wait_ms=" + strconv.FormatInt(max(1, span.Milliseconds()), 10)
+	began := time.Now()
+	calls, takes := d.terms.Ask(wait)
+	call(wait, takes)
+	timer := time.NewTimer(calls.Next())
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-results:
+			if r.err == nil || calls.Failed() {
+				return r.answer, r.err
+			}
+		case <-timer.C:
+			if calls.Due(time.Since(began)) {
+				call(lookWait, d.terms.Look)
+			}
+			timer.Reset(calls.Next() - time.Since(began))
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+}
+
+// call makes one call.
+func (s *source) call(ctx context.Context, query string, whole bool) (*registry.Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url+query, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := d.client.Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil {
 		return nil, err
 	}
@@ -318,6 +454,12 @@
 	}
 	d.to.Servers(kind != policy.ListDelta, servers) // before any of them can be chosen
 	d.to.Members(kind, entries)
+	if begun := d.begun; begun != nil {
+		d.begun = nil
+		begun()
+	}
+	d.told = true
+	d.settled()
 }
 
 // started maps wall time onto the clock.
--- a/internal/node/maint_histories_test.go
+++ b/internal/node/maint_histories_test.go
@@ -64,7 +64,7 @@
 func TestDetachHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{T: t, now: 2 * time.Hour, tries: map[policy.RequestID]int{}, names: map[policy.ServerID]string{}}
-		h.d = &discovery{to: h, zones: map[string]int{}}
+		h.d = &discovery{to: h, zones: map[string]int{}, source: &source{}, first: make(chan struct{})}
 		set := policy.Defaults()
 		set.Classes = []policy.Class{{Deadline: 2 * time.Second, Aim: time.Second, Worth: 1, Effect: policy.Safe}}
 		set.Limits.MaxAttempts = 3
@@ -82,7 +82,7 @@
 					a.Lines = append(a.Lines, l)
 				}
 			}
-			h.d.take(a)
+			h.d.take(h.d.source, a)
 		}
 		lists()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,11 +23,14 @@
 )
 
 const (
-	ownDescriptors = 24   // standard streams, runtime, listener, discovery
+	ownDescriptors = 30   // standard streams, runtime, listener, discovery
 	serversPart    = 0.45 // of the other descriptors; those of clients may be silent or idle
 	maxBody        = 64 << 20
 	streamStall    = 5 * time.Second // how long a long answer may stand still, at either side
-	heldPart       = 4               // of the memory, its part that request bodies may hold
+	// sendPart is the part of the grace of drains that is left to sends decided before: the
+	// word of the drain has been on its way here for the rest (registry.Pushed).
+	sendPart = 5
+	heldPart = 4 // of the memory, its part that request bodies may hold
 )
 
 // Node is one load balancer. Create it with Listen.
@@ -90,7 +93,7 @@
 		Nodes: n.cfg.Policy.Nodes, Prices: n.cfg.IdlePrices,
 	})
 	cluster, err := engine.New(inner, n.cfg.Policy, pool, engine.Options{
-		Seed: n.cfg.Seed, Clock: clock, Watch: disco.watch,
+		Seed: n.cfg.Seed, Clock: clock, Watch: disco.watch, DrainGrace: max(1, n.cfg.DrainGrace/sendPart),
 	})
 	if err != nil {
 		return err
@@ -136,6 +139,10 @@
 		case <-ctx.Done():
 		}
 	}
+	select { // connections wait in the kernel meanwhile
+	case <-disco.first:
+	case <-ctx.Done():
+	}
 	srv := front.Server()
 	defer srv.Close()
 	listener := front.Listener(n.listener)
--- /dev/null
+++ b/internal/node/told_test.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"yokestall/internal/registry"
+	"yokestall/internal/testkit"
+)
+
+// agentCall is one call to an agent, which stays open until the test answers it or the caller
+// goes away.
+type agentCall struct {
+	query string
+	with  chan<- known    // takes the answer
+	over  <-chan struct{} // closed once it is answered, or given up
+}
+
+// agent is a discovery whose every answer the test gives.
+func agent(t *testing.T) (addr string, calls <-chan agentCall) {
+	came := make(chan agentCall, 256)
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		with, ended := make(chan known, 1), make(chan struct{})
+		defer close(ended)
+		came <- agentCall{r.URL.RawQuery, with, ended}
+		select {
+		case k := <-with:
+			text, _ := json.MarshalIndent(k, "", "  ") // lists may come indented
+			w.Write(text)
+		case <-r.Context().Done():
+		case <-over:
+		}
+	}))
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { close(over) })
+	return srv.Listener.Addr().String(), came
+}
+
+func listOf(generation uint64, lines ...registry.Line) known {
+	return known{Generation: generation, Reset: true, Instances: lines}
+}
+
+func draining(l registry.Line) registry.Line {
+	l.Lifecycle = "Terminating"
+	return l
+}
+
+// told starts a node whose discovery is the test's.
+func told(t *testing.T, addr string, had known, change func(*Config)) *running {
+	t.Helper()
+	cfg := testConfig(t, newRegistry(t), func(file map[string]any) { file["discovery"], file["known"] = addr, had })
+	if change != nil {
+		change(cfg)
+	}
+	return start(t, cfg)
+}
+
+// What the agent has counts from the first moment of a process: a request that comes before the
+// agent was heard waits for it, and does not go by the list that the configuration holds.
+func TestAgentGoesBeforeTheKnownList(t *testing.T) {
+	t.Parallel()
+	old, fresh := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
+	addr, calls := agent(t)
+	n := told(t, addr, listOf(3, instanceAt(old, "s-old")), func(c *Config) {
+		c.terms = registry.Pushed(c.DrainGrace)
+		c.terms.Start = testkit.Patience
+	})
+	first := testkit.Wait(t, calls, "the first call")
+	if first.query != "after=3&wait_ms=1" {
+		t.Errorf("the first call asks for %q: it has to be answered at once", first.query)
+	}
+	nc := n.dial() // dealt by a front that did not notice the restart
+	r := n.request("pay")
+	if err := r.Write(nc); err != nil {
+		t.Fatal(err)
+	}
+	first.with <- listOf(4, draining(instanceAt(old, "s-old")), instanceAt(fresh, "s-new"))
+	resp, err := http.ReadResponse(bufio.NewReader(nc), r)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if len(old.Got) != 0 || len(fresh.Got) != 1 {
+		t.Errorf("%d sends to the server that drains, %d to the other", len(old.Got), len(fresh.Got))
+	}
+}
+
+// An agent that is silent as a process starts, as with a discovery that is down, keeps the node
+// from neither serving nor being ready: the known list is all that there is.
+func TestAgentSilentAtTheStart(t *testing.T) {
+	t.Parallel()
+	b := testkit.NewBackend(t, testkit.OK)
+	addr, calls := agent(t)
+	n := told(t, addr, listOf(3, instanceAt(b, "s-0")), nil)
+	testkit.Wait(t, calls, "the first call")
+	n.waitReady(http.StatusOK)
+	if a := n.do(n.request("read")); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+}
+
+// A watch that has fallen silent is found out by a second look beside it, in both modes: what it
+// misses counts as told, whether or not it arrived.
+func TestSilentWatch(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
+			addr, calls := agent(t)
+			cfg := testConfig(t, newRegistry(t), func(file map[string]any) {
+				file["discovery"] = addr
+				file["settings"] = jsonText(strings.Replace(settingsText, "pushed", mode, 1))
+			})
+			n := start(t, cfg)
+			testkit.Wait(t, calls, "the first call").with <- listOf(1, instanceAt(a, "s-a"), instanceAt(b, "s-b"))
+			n.waitReady(http.StatusOK)
+			silent := testkit.Wait(t, calls, "the watch")
+			look := testkit.Wait(t, calls, "a second look")
+			select {
+			case <-silent.over:
+				t.Error("the watch was given up before it was looked again")
+			default:
+			}
+			if look.query != "after=1&wait_ms=1" {
+				t.Errorf("the look asks for %q", look.query)
+			}
+			look.with <- listOf(2, draining(instanceAt(a, "s-a")), instanceAt(b, "s-b"))
+			for {
+				if next := testkit.Wait(t, calls, "the watch anew"); strings.HasPrefix(next.query, "after=2&") {
+					break
+				}
+			}
+			testkit.Wait(t, silent.over, "the silent call to be given up")
+			for range 20 {
+				n.do(n.request("read"))
+			}
+			if len(a.Got) != 0 {
+				t.Errorf("%d sends to the server that drains", len(a.Got))
+			}
+		})
+	}
+}
+
+// Where the agent is silent for long, the looks go on, within their number: what it gets at its
+// return counts at once, and the calls that were open then may never be answered.
+func TestAgentSilentForLong(t *testing.T) {
+	t.Parallel()
+	b := testkit.NewBackend(t, testkit.OK)
+	addr, calls := agent(t)
+	n := told(t, addr, listOf(3, instanceAt(b, "s-0")), nil)
+	n.waitReady(http.StatusOK)
+	most := registry.Pushed(0).Most
+	var open []agentCall
+	for range 4 * most {
+		open = append(open, testkit.Wait(t, calls, "a further look"))
+		testkit.Until(t, "no more calls than may be", func() bool {
+			open = slices.DeleteFunc(open, func(c agentCall) bool {
+				select {
+				case <-c.over:
+					return true
+				default:
+					return false
+				}
+			})
+			return len(open) <= most
+		})
+	}
+	testkit.Until(t, "the news to be in force", func() bool {
+		select {
+		case c := <-calls: // one that was given up by now takes no answer
+			c.with <- listOf(4)
+		default:
+		}
+		return n.do(n.request("read")).status == http.StatusServiceUnavailable
+	})
+}
+
+// While a new discovery is silent, as after SIGHUP, the old one is followed: what it tells counts.
+func TestOldDiscoveryUntilTheNewOneSpeaks(t *testing.T) {
+	t.Parallel()
+	a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
+	oldAddr, old := agent(t)
+	newAddr, fresh := agent(t)
+	n := told(t, oldAddr, known{}, nil)
+	testkit.Wait(t, old, "the first call").with <- listOf(1, instanceAt(a, "s-a"), instanceAt(b, "s-b"))
+	n.waitReady(http.StatusOK)
+	n.node.MoveDiscovery(newAddr)
+	first := testkit.Wait(t, fresh, "a call to the new one")
+	if first.query != "" {
+		t.Errorf("the new one is asked for %q, not for all", first.query)
+	}
+	for {
+		c := testkit.Wait(t, old, "a call to the old one")
+		if strings.HasPrefix(c.query, "after=1&") {
+			c.with <- listOf(2, draining(instanceAt(a, "s-a")), instanceAt(b, "s-b"))
+		} else if strings.HasPrefix(c.query, "after=2&") {
+			break
+		}
+	}
+	for range 20 {
+		n.do(n.request("read"))
+	}
+	if len(a.Got) != 0 {
+		t.Errorf("%d sends to a server of whose drain the old one told", len(a.Got))
+	}
+	next := testkit.Wait(t, fresh, "a second look at the new one")
+	next.with <- listOf(7, instanceAt(a, "s-a"))
+	testkit.Until(t, "the new list to be in force", func() bool {
+		n.do(n.request("read"))
+		return len(a.Got) > 0
+	})
+	testkit.Until(t, "the new one to be watched", func() bool {
+		return strings.HasPrefix(testkit.Wait(t, fresh, "a watch").query, "after=7&")
+	})
+}
+
+// The grace of drains comes from the settings, as little as is known where they have none, and
+// one that makes no sense is no default's matter.
+func TestGraceOfTheSettings(t *testing.T) {
+	t.Parallel()
+	parse := func(contract string) (*Config, error) {
+		return parseConfig([]byte(`{"name": "n", "settings": ` + strings.Replace(settingsText, `"RegistryMode"`, contract+`"RegistryMode"`, 1) + `}`))
+	}
+	for contract, want := range map[string]time.Duration{
+		"": strictestGrace, `"Contract": {"DrainGraceMs": 250},`: 250 * time.Millisecond, `"Contract": {"DrainGraceMs": 0},`: 0,
+		`"Contract": {"DrainGraceMs": null},`: strictestGrace,
+	} {
+		if c, err := parse(contract); err != nil || c.DrainGrace != want {
+			t.Errorf("%s: %v, %v", contract, c, err)
+		}
+	}
+	for _, contract := range []string{`"Contract": {"DrainGraceMs": -1},`, `"Contract": {"DrainGraceMs": 1e300},`, `"Contract": {"DrainGraceMs": "500"},`} {
+		if _, err := parse(contract); err == nil || !strings.Contains(err.Error(), "DrainGraceMs") {
+			t.Errorf("%s: %v", contract, err)
+		}
+	}
+}
