See a client leave behind whatever it has sent, and ask right before each send

Checked: net/http looks out for a client's end by a Read of one byte beside the handler; the first byte behind a request ends that look-out, and startBackgroundRead is called no more. Ruled out: clients that send nothing more are seen at once; the engine bars what it is told of. Lines at fault: httpfront asked for a client's end only before a request was handed on (clientConn.gone), not with Strict, and not behind unread bytes.

Change: while a request is open its connection is looked at every 100 ms: read ahead without waiting, 64 KiB at most and 2 MiB for all, and beyond that the kernel is asked (TCP_INFO). What was read ahead is given to net/http as it would have come. engine.Request.Left asks the same right before an attempt's first byte leaves. Both modes; with joined repeats (internal/once) a joiner that waits keeps the send.

TestReadAheadIsBoundedAndKept holds the bounds.

--- a/internal/app/running.go
+++ b/internal/app/running.go
@@ -184,7 +184,7 @@
 	}
 	return &engine.Request{
 		Class: class, Tenant: tenant, Hint: q.Hint, End: q.End, Patience: q.Patience, Payload: q.Payload,
-		MaxAttempts: q.MaxAttempts, PerTry: q.PerTry, Late: q.Late, Listen: q.Listen, May: q.May, Again: q.Again,
+		MaxAttempts: q.MaxAttempts, PerTry: q.PerTry, Late: q.Late, Listen: q.Listen, May: q.May, Again: q.Again, Left: q.Left,
 	}, true
 }
 
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -17,6 +17,7 @@
 	clock  Clock
 	sent   func(server policy.ServerID, at time.Duration) // Options.Sent
 	may    func() bool                                    // Request.May
+	left   func() bool                                    // Request.Left
 
 	mu      sync.Mutex
 	stopped bool
@@ -90,13 +91,14 @@
 }
 
 // Begin asks for leave to send. It is true once at most: not after the request's final
-// answer, nor Options.DrainGrace after word that the server drains, nor where Request.May says no.
+// answer, nor Options.DrainGrace after word that the server drains, nor where Request.May or Request.Left say
+// so.
 func (c *Call) Begin() bool {
 	if c.server == nil { // of NewCall
 		return c.gate.CompareAndSwap(unsent, begun)
 	}
 	now := c.clock.Now()
-	if c.server.barred(now) || c.may != nil && !c.may() {
+	if c.server.barred(now) || c.may != nil && !c.may() || c.left != nil && c.left() {
 		c.Revoke()
 	}
 	if !c.gate.CompareAndSwap(unsent, begun) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -540,7 +540,7 @@
 	c.mu.RLock()
 	a.server = c.members[server]
 	c.mu.RUnlock()
-	a.to, a.clock, a.sent, a.may = server, c.clock, c.sent, r.May
+	a.to, a.clock, a.sent, a.may, a.left = server, c.clock, c.sent, r.May, r.Left
 	index := len(r.attempts)
 	if index == 0 {
 		r.attempts = r.first[:0]
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -47,6 +47,9 @@
 	// nothing is sent, and unless another attempt is out the request is refused at once, to come back after Again.
 	May   func() bool
 	Again time.Duration
+	// Left, if set, is asked in the same place whether the client has gone; with true nothing is
+	// sent. Whoever sets it has the context of Do end with it.
+	Left func() bool
 
 	id       policy.RequestID
 	answer   chan Answer // takes one
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -22,6 +21,7 @@
 	zero    time.Time
 	changed chan struct{} // poked when one ends or changes its phase
 	ended   chan struct{} // closed with the listener
+	ahead   atomic.Int64  // bytes that were read ahead, of all connections
 	end     sync.Once
 
 	mu       sync.Mutex
@@ -52,6 +52,10 @@
 	http2 bool            // a request came over HTTP/2
 	seen  fieldScan       // of what is read
 	known int             // lengths that its requests had; of their handlers alone
+	raw   syscall.RawConn // nil if it has none
+
+	side sync.Mutex // guards what follows; conns.mu is not taken under it
+	reading
 }
 
 // doubtful tells whether a request has a transfer coding and the connection's bytes held a length
@@ -103,7 +107,11 @@
 // meanwhile counts as not read: its client sends the request again elsewhere, so
 // nobody may serve it here.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err, socket := c.take(p)
+	if socket {
+		n, err = c.Conn.Read(p)
+		c.gave(err)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -117,29 +125,6 @@
 	return n, err
 }
 
-// gone tells whether the client has ended its side behind what was read. A process that was stopped, or
-// that has too much to do, takes requests that lay in the socket past their time, and nothing in them says
-// so; but their clients have left, and the end of the connection lies behind them (looked at with
-// MSG_PEEK, recv(2)). net/http sees it too, but at times only after the request was handed on. What else lies
-// unread behind it, as over TLS, hides it.
-func (c *clientConn) gone() bool {
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ended := false
-	raw.Control(func(fd uintptr) { // not Read, which would wait for net/http's
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
-	})
-	return ended
-}
-
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.conns.mu.Lock()
@@ -226,6 +211,7 @@
 	cs.table.End(c.entry)
 	delete(cs.resting, c)
 	cs.poke()
+	defer c.drop()
 	return c.Conn.Close()
 }
 
@@ -288,6 +274,9 @@
 // admit takes in a new connection; nil if the listener ended before it had a place.
 func (cs *clientConns) admit(nc net.Conn) *clientConn {
 	c := &clientConn{Conn: nc, conns: cs}
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
+	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -260,7 +260,7 @@
 	payload := q.Payload.(*httpup.Request)
 	defer f.free(payload)
 	if c != nil {
-		if !f.options.Strict && r.ProtoMajor == 1 && payload.Upload == nil && c.gone() {
+		if r.ProtoMajor == 1 && payload.Upload == nil && c.left() {
 			panic(http.ErrAbortHandler) // nobody waits for it: nothing may go out for it
 		}
 		switch open, over := c.whole(r.ProtoMajor == 2); {
@@ -301,6 +301,11 @@
 			payload.Upload.Settle(httpup.UploadPause)
 		}
 	}
+	if c != nil && r.ProtoMajor == 1 {
+		var unwatch func()
+		ctx, q.Left, unwatch = c.watch(ctx)
+		defer unwatch()
+	}
 	a, err := to.Cluster.Do(ctx, q)
 	f.disclaim(id)
 	if u := payload.Upload; u != nil {
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,20 +32,30 @@
 // A process that was stopped finds requests in its sockets whose clients have left meanwhile: none is handed on. One whose
 // client waits is.
 func TestClientsThatLeftBeforeTheirRequestWasRead(t *testing.T) {
+	for _, strict := range []bool{false, true} {
+		for _, behind := range []string{"", "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", "rubbish", strings.Repeat("rubbish", 3000)} {
+			t.Run(fmt.Sprint("strict ", strict, " and ", len(behind), " bytes behind"), func(t *testing.T) { leftBefore(t, strict, behind) })
+		}
+	}
+}
+
+func leftBefore(t *testing.T, strict bool, behind string) {
 	const clients = 64
 	c := &counter{}
-	f := New(c, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 2 * clients, Silent: 2 * clients}, Log: testkit.Log(t)})
+	f := New(c, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 2 * clients, Silent: 2 * clients}, Log: testkit.Log(t), Strict: strict})
 	l := testkit.Listen(t)
 	ask := func() net.Conn {
 		nc, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprint(nc, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+		fmt.Fprintf(nc, "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: %p\r\nX-Timeout-Ms: 5000\r\n\r\n", nc)
 		return nc
 	}
 	for range clients { // they wait in the socket: nobody has accepted them
-		ask().Close()
+		nc := ask()
+		io.WriteString(nc, behind)
+		nc.Close()
 	}
 	waits := ask()
 	defer waits.Close()
@@ -64,3 +75,142 @@
 		t.Errorf("%d requests were handed on, one of them for a client that waits", n)
 	}
 }
+
+// holding is a cluster that holds each request until its context ends.
+type holding struct{ came, over chan *engine.Request }
+
+func (h *holding) Route(*http.Request) (ingress.Destination, error) {
+	return ingress.Destination{Cluster: h, Deadline: time.Hour, MaxAttempts: 1}, nil
+}
+
+func (h *holding) Do(ctx context.Context, r *engine.Request) (engine.Answer, error) {
+	h.came <- r
+	<-ctx.Done()
+	h.over <- r
+	return engine.Answer{}, engine.ErrLeft
+}
+
+// A client that leaves while its request waits is noticed, whatever it has sent behind the request,
+// and however much: also where more lies there than is read ahead. Right before a send, it is known
+// at once.
+func TestClientLeavesWhileItWaits(t *testing.T) {
+	t.Parallel()
+	for _, strict := range []bool{true, false} {
+		for name, behind := range map[string]string{
+			"nothing": "", "a request": "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", "a byte": "x",
+			"part of a request": "GET /x HTTP/1.1\r\nHo", "rubbish": strings.Repeat("rubbish", 5000), "more than is read": strings.Repeat("rubbish", 20000),
+		} {
+			for _, resets := range []bool{false, true} {
+				t.Run(fmt.Sprint(name, ", strict ", strict, ", resets ", resets), func(t *testing.T) {
+					t.Parallel()
+					h := &holding{make(chan *engine.Request, 1), make(chan *engine.Request, 1)}
+					f := New(h, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t), Strict: strict})
+					nc, err := net.Dial("tcp", serve(t, f))
+					if err != nil {
+						t.Fatal(err)
+					}
+					fmt.Fprint(nc, "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: i\r\nX-Timeout-Ms: 3000000\r\n\r\n")
+					r := testkit.Wait(t, h.came, "the request")
+					io.WriteString(nc, behind)
+					if r.Left() {
+						t.Error("a client that waits has left")
+					}
+					if resets {
+						nc.(*net.TCPConn).SetLinger(0)
+					}
+					nc.Close()
+					testkit.Until(t, "a send to be barred", r.Left) // as soon as the end is here
+					testkit.Wait(t, h.over, "the request to be given up")
+					testkit.Until(t, "the connection to be over", func() bool { return f.Connections() == 0 })
+					if n := f.conns.ahead.Load(); n != 0 {
+						t.Errorf("%d bytes are held of no connection", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// The same with nobody who asks: the look-out alone ends the request.
+func TestLookOutForTheClientsEnd(t *testing.T) {
+	t.Parallel()
+	h := &holding{make(chan *engine.Request, 1), make(chan *engine.Request, 1)}
+	f := New(h, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t), Strict: true})
+	nc, err := net.Dial("tcp", serve(t, f))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(nc, "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: i\r\nX-Timeout-Ms: 3000000\r\n\r\n")
+	testkit.Wait(t, h.came, "the request")
+	io.WriteString(nc, "GET /x")
+	nc.Close()
+	testkit.Wait(t, h.over, "the request to be given up")
+}
+
+// What is read ahead is bounded for a connection and for all of them, and nothing of it is lost: the
+// requests behind the first one get their answers.
+func TestReadAheadIsBoundedAndKept(t *testing.T) {
+	t.Parallel()
+	const clients, behind = 40, 4000
+	release := make(chan struct{})
+	var served atomic.Int64
+	f := New(routes(func(*http.Request) (ingress.Destination, error) {
+		return ingress.Destination{Cluster: decides(func() engine.Answer {
+			<-release
+			served.Add(1)
+			return engine.Answer{Verdict: engine.Refused}
+		}), Deadline: time.Hour, MaxAttempts: 1}, nil
+	}), Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 2 * clients, Silent: 2 * clients}, Log: testkit.Log(t)})
+	addr := serve(t, f)
+	const head = "GET /x HTTP/1.1\r\nHost: a\r\n"
+	conns := make([]net.Conn, clients)
+	for i := range conns {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		conns[i] = nc
+		go io.WriteString(nc, strings.Repeat(head+"\r\n", behind)+head+"Connection: close\r\n\r\n") // more than is read ahead
+	}
+	testkit.Until(t, "the bound to be met", func() bool {
+		n := f.conns.ahead.Load()
+		if n > maxAheadAll {
+			t.Fatalf("%d bytes are held", n)
+		}
+		return n > maxAheadAll-aheadPart
+	})
+	close(release)
+	for _, nc := range conns {
+		nc.SetReadDeadline(time.Now().Add(testkit.Patience))
+		text, err := io.ReadAll(nc)
+		if n := strings.Count(string(text), "HTTP/1.1 503"); n != behind+1 || err != nil {
+			t.Errorf("%d answers, %v", n, err)
+		}
+	}
+	if n := f.conns.ahead.Load(); n != 0 || served.Load() != clients*(behind+1) {
+		t.Errorf("%d bytes are held, %d requests were served", n, served.Load())
+	}
+}
+
+type routes func(*http.Request) (ingress.Destination, error)
+
+func (r routes) Route(q *http.Request) (ingress.Destination, error) { return r(q) }
+
+type decides func() engine.Answer
+
+func (d decides) Do(context.Context, *engine.Request) (engine.Answer, error) { return d(), nil }
+
+// serve serves a front until the test's end.
+func serve(t *testing.T, f *Front) (addr string) {
+	t.Helper()
+	l := testkit.Listen(t)
+	srv := f.Server()
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(srv, f.Listener(l)) }()
+	t.Cleanup(func() {
+		srv.Close()
+		<-served
+	})
+	return l.Addr().String()
+}
--- /dev/null
+++ b/internal/httpfront/leaving.go
@@ -0,0 +1,177 @@
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+const (
+	// leaveLook is how often a connection is looked at while its request is open. From the
+	// moment a client leaves nothing may be sent on for it 0.3 s later.
+	leaveLook = 100 * time.Millisecond
+	// maxAhead is how many bytes are read ahead of a connection to see its end behind them, and
+	// maxAheadAll how many of a front's connections together. What lies behind that stays in the
+	// socket, and the end is asked of the kernel.
+	maxAhead    = 64 << 10
+	maxAheadAll = 2 << 20
+	aheadPart   = 4 << 10
+)
+
+// reading is what a clientConn knows of its client's side: bytes that were read ahead, and the end.
+//
+// net/http looks out for a client's end by a Read beside the handler, which ends with the first byte
+// that comes behind the request: whoever has sent more and leaves would not be seen by anybody. So
+// while a request is open the connection is read ahead, as far as is allowed.
+type reading struct {
+	busy  bool   // a Read of the socket is under way: it sees the end, nothing is read ahead
+	ahead []byte // read, and not given to any Read yet
+	ended bool   // the client's end lies behind ahead
+}
+
+// take gives what was read ahead; where that is nothing and the end is not known the caller may read
+// the socket, and has to call gave then.
+func (c *clientConn) take(p []byte) (n int, err error, socket bool) {
+	c.side.Lock()
+	defer c.side.Unlock()
+	if len(c.ahead) > 0 {
+		n = copy(p, c.ahead)
+		c.conns.ahead.Add(-int64(n))
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		return n, nil, false
+	}
+	if c.ended {
+		return 0, io.EOF, false
+	}
+	c.busy = true
+	return 0, nil, true
+}
+
+// gave ends a Read of the socket.
+func (c *clientConn) gave(err error) {
+	c.side.Lock()
+	defer c.side.Unlock()
+	c.busy = false
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.ended = true
+	}
+}
+
+// left tells whether the client has ended its side, whatever it has sent behind its request. It does
+// not wait. A process that was stopped, or that has too much to do, takes requests that lay in the
+// socket past their time, and nothing in them says so; but their clients have left, and the end of the
+// connection lies behind them.
+func (c *clientConn) left() bool {
+	ended, came := c.lookAhead()
+	if came {
+		c.conns.mu.Lock()
+		defer c.conns.mu.Unlock()
+		c.conns.spoke(c) // it is no idle one when its answer is out
+	}
+	return ended
+}
+
+// lookAhead is left, and tells whether bytes came.
+func (c *clientConn) lookAhead() (ended, came bool) {
+	c.side.Lock()
+	defer c.side.Unlock()
+	if c.ended || c.raw == nil {
+		return c.ended, false
+	}
+	more, before := false, len(c.ahead)
+	c.raw.Control(func(fd uintptr) { // not Read, which would wait for net/http's
+		if c.busy {
+			ended, more = peekEnd(int(fd))
+		} else {
+			ended, more = c.readAhead(int(fd))
+		}
+		if more && !ended {
+			ended = closedByPeer(int(fd))
+		}
+	})
+	c.ended = ended && !c.busy && !more
+	return ended, len(c.ahead) > before
+}
+
+// drop forgets what was read ahead, once the connection is closed.
+func (c *clientConn) drop() {
+	c.side.Lock()
+	defer c.side.Unlock()
+	c.conns.ahead.Add(-int64(len(c.ahead)))
+	c.ahead = nil
+}
+
+// peekEnd looks for the end right ahead (MSG_PEEK, recv(2)); more: bytes lie before it.
+func peekEnd(fd int) (ended, more bool) {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET), n > 0
+}
+
+// readAhead reads what has come, within the bounds; more: there may be more than that. c.side is held.
+func (c *clientConn) readAhead(fd int) (ended, more bool) {
+	for {
+		if len(c.ahead) >= maxAhead {
+			return false, true
+		}
+		if c.conns.ahead.Add(aheadPart) > maxAheadAll {
+			c.conns.ahead.Add(-aheadPart)
+			_, more = peekEnd(fd)
+			return false, more
+		}
+		var part [aheadPart]byte
+		n, err := syscall.Read(fd, part[:])
+		c.conns.ahead.Add(int64(max(n, 0)) - aheadPart)
+		switch {
+		case n > 0:
+			c.ahead = append(c.ahead, part[:n]...)
+		case n == 0 && err == nil, errors.Is(err, syscall.ECONNRESET):
+			return true, false
+		case !errors.Is(err, syscall.EINTR):
+			return false, false
+		}
+	}
+}
+
+// closedByPeer asks the kernel whether the other side has ended the connection (tcp(7), TCP_INFO),
+// where bytes that are not read hide it.
+func closedByPeer(fd int) bool {
+	const closed, closeWait, lastAck, closing = 7, 8, 9, 11 // enum tcp_state of linux/tcp_states.h
+	var info [8]byte
+	size := uint32(len(info))
+	_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, uintptr(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO,
+		uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	if errno != 0 || size == 0 {
+		return false // it is not known here
+	}
+	state := info[0]
+	return state == closed || state == closeWait || state == lastAck || state == closing
+}
+
+// watch gives a context that ends when the client leaves, at the latest leaveLook and a moment after
+// it did, and what asks the same at once. done ends the watch.
+func (c *clientConn) watch(ctx context.Context) (here context.Context, left func() bool, done func()) {
+	here, cancel := context.WithCancel(ctx)
+	left = func() bool {
+		if here.Err() == nil && c.left() {
+			cancel()
+		}
+		return here.Err() != nil
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(time.Hour, func() {
+		if !left() {
+			timer.Reset(leaveLook)
+		}
+	})
+	timer.Reset(leaveLook)
+	return here, left, func() {
+		cancel() // a look that is under way sets the timer no more
+		timer.Stop()
+	}
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -142,6 +142,16 @@
 		r.Listen = c.window
 		r.Late = func(answer any) { c.heard(f, answer) }
 	}
+	if own := r.Left; own != nil { // a joiner waits for it too
+		r.Left = func() bool {
+			if !own() {
+				return false
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return !c.store.Waited(f.entry)
+		}
+	}
 	apart, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f.stop = stop
 	go func() {
