Answer at once what comes in a stop's last moment, and refuse what surely has not run

A request whose last byte came in the last 50 ms of a stop began behind Cluster.Abandon, waited for its own deadline and was cut off with no answer. What had not been sent was answered as failed, which promises its client nothing. The listener was closed as soon as the plan said so, also by a process that had just been stopped for a while: what lay in the kernel's queue went with it. Silent connections stayed to the end and could still ask.

Change: from Abandon on what comes is refused at once; what has no attempt that may have run is refused, with the time to come back; the listener is closed after three looks that were in time; silent connections end as the rest is answered.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -134,7 +134,9 @@
 	requests map[policy.RequestID]*Request
 	lastID   policy.RequestID
 	maxTries int
-	retries  int // second and later attempts that are out
+	retries  int           // second and later attempts that are out
+	leaving  bool          // Abandon was called: nothing more is taken up
+	comeBack time.Duration // what those are told that Abandon refuses
 	alarms   alarms
 	after    []event // what host calls leave to be told to the Balancer
 }
@@ -172,7 +174,7 @@
 		clock: o.Clock, ex: ex, watch: o.Watch, sent: o.Sent,
 		events: make(chan event, eventQueue), gone: make(chan struct{}),
 		members: map[policy.ServerID]*member{}, requests: map[policy.RequestID]*Request{},
-		maxTries: set.Limits.MaxAttempts,
+		maxTries: set.Limits.MaxAttempts, comeBack: set.Limits.MaxRetryAfter,
 	}
 	if c.grace = o.DrainGrace; c.grace == 0 {
 		c.grace = DrainGrace
@@ -398,7 +400,8 @@
 // Ended is closed when the cluster has ended.
 func (c *Cluster) Ended() <-chan struct{} { return c.gone }
 
-// Abandon answers all that is open: the program ends.
+// Abandon answers all that is open, and at once what still comes: the program ends. What surely has
+// not run is refused, so that its client may ask elsewhere.
 func (c *Cluster) Abandon() { c.post(event{kind: evAbandon}) }
 
 func (c *Cluster) begin(now time.Duration, r *Request) {
@@ -412,6 +415,11 @@
 		r.End = now + comingMost
 	}
 	r.deadline = alarm{at: r.End, request: r, index: -1}
+	if c.leaving {
+		c.finish(r, Answer{Verdict: Refused, RetryAfter: c.comeBack})
+		c.release(r)
+		return
+	}
 	c.alarms.set(&r.deadline)
 	c.balancer.Request(now, policy.Request{
 		ID: r.id, Class: r.Class, Tenant: r.Tenant, Left: max(0, r.End-now), Hint: r.Hint, Coming: r.Coming,
@@ -440,9 +448,15 @@
 }
 
 func (c *Cluster) abandon(now time.Duration) {
+	c.leaving = true
 	for _, r := range c.requests {
 		if !r.ended {
-			c.finish(r, Answer{Verdict: Failed})
+			c.end(r) // from here on nothing of it can begin
+			verdict := Refused
+			if r.mayHaveRun() {
+				verdict = Failed
+			}
+			c.finish(r, Answer{Verdict: verdict, RetryAfter: c.comeBack})
 			c.balancer.Left(now, r.id)
 			c.release(r)
 		}
@@ -514,13 +528,19 @@
 // finish gives the final answer.
 func (c *Cluster) finish(r *Request, a Answer) {
 	c.end(r)
-	a.MayHaveRun = r.ran
-	for _, t := range r.attempts { // those that are out
-		a.MayHaveRun = a.MayHaveRun || !t.told && t.mayHaveRun(policy.Cancelled)
-	}
+	a.MayHaveRun = r.mayHaveRun()
 	r.answer <- a
 }
 
+// mayHaveRun tells whether an attempt went out, or is out, that is not known not to have run.
+func (r *Request) mayHaveRun() bool {
+	ran := r.ran
+	for _, t := range r.attempts {
+		ran = ran || !t.told && t.mayHaveRun(policy.Cancelled)
+	}
+	return ran
+}
+
 // release forgets a request that is over in every way.
 func (c *Cluster) release(r *Request) {
 	if r.ended && r.out == 0 {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -179,6 +179,13 @@
 	return f.conns.table.Open()
 }
 
+// CloseSilent closes the connections over which nothing has come, or nothing since an answer.
+func (f *Front) CloseSilent() {
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	f.conns.restEnds(0, 0)
+}
+
 // Drain closes connections as they fall idle, until none is left or ctx ends.
 func (f *Front) Drain(ctx context.Context) { f.conns.drain(ctx) }
 
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -214,3 +214,34 @@
 	})
 	return l.Addr().String()
 }
+
+// At a stop's end the connections go over which nothing is owed, and no others.
+func TestCloseSilent(t *testing.T) {
+	t.Parallel()
+	h := &holding{make(chan *engine.Request, 1), make(chan *engine.Request, 1)}
+	f := New(h, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t), Strict: true})
+	addr := serve(t, f)
+	dial := func(text string) net.Conn {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		io.WriteString(nc, text)
+		return nc
+	}
+	asks := dial("GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: i\r\nX-Timeout-Ms: 3000000\r\n\r\n")
+	testkit.Wait(t, h.came, "the request")
+	silent := dial("")
+	testkit.Until(t, "both to be there", func() bool { return f.Connections() == 2 })
+	f.CloseSilent()
+	silent.SetReadDeadline(time.Now().Add(testkit.Patience))
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the silent one: %v", err)
+	}
+	if n := f.Connections(); n != 1 {
+		t.Errorf("%d connections are left", n)
+	}
+	asks.Close()
+	testkit.Wait(t, h.over, "the request to be over")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,7 +166,10 @@
 	n.log.Info("stopping", "longest deadline", n.cfg.longestDeadline(), "over within", plan.whole)
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(plan.whole))
 	defer cancel()
-	last := time.AfterFunc(time.Until(began.Add(plan.abandons())), cluster.Abandon)
+	last := time.AfterFunc(time.Until(began.Add(plan.abandons())), func() {
+		cluster.Abandon()
+		front.CloseSilent() // what they send now would find nobody
+	})
 	defer last.Stop()
 	if others.succeeded() { // what is queued in the kernel, and all that comes, is the later one's
 		listener.Close()
@@ -176,8 +179,13 @@
 		return nil
 	}
 	front.Stopping()
-	for plan.serves(time.Since(began), front.Asked().Sub(began)) {
-		time.Sleep(10 * time.Millisecond)
+	for e, before := (ending{plan: plan}), time.Now(); ; {
+		time.Sleep(endingLook)
+		now := time.Now()
+		if e.over(now.Sub(before), now.Sub(began), front.Asked().Sub(began)) {
+			break
+		}
+		before = now
 	}
 	front.Draining()
 	listener.Close()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -34,6 +34,32 @@
 	return now < p.whole-stopTail && now-max(0, asked) < frontNotice
 }
 
+// ending is what a stop knows while it serves on.
+type ending struct {
+	plan stopPlan
+	calm int // looks in a row that were in time and found that nobody asks
+}
+
+const (
+	endingLook = 10 * time.Millisecond
+	// endingLate is a look so late that others of the process may have waited as long: what lies
+	// in the listener's queue then has not had its turn.
+	endingLate = 3 * endingLook
+	endingCalm = 3
+)
+
+// over takes a look that came so long after the one before it, and tells whether the listener may be
+// closed: the plan has ended serving, and for some looks whatever waits in the kernel had its turn.
+func (e *ending) over(took, now, asked time.Duration) bool {
+	switch {
+	case e.plan.serves(now, asked) || took > endingLate:
+		e.calm = 0
+	default:
+		e.calm++
+	}
+	return e.calm >= endingCalm || now >= e.plan.abandons()
+}
+
 // idles is how long a client's connection may be idle in a process that hands over to a later
 // one: such as long as most clients need to ask again, and short enough that all are through in time.
 func (p stopPlan) idles() time.Duration { return p.whole / 3 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -75,3 +75,35 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// The listener is closed only when the process had its turn for a while: what lies in its queue, on a
+// machine that is late, was taken by the kernel and is owed an answer.
+func TestListenerHasItsTurnBeforeItCloses(t *testing.T) {
+	t.Parallel()
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		looks [][2]time.Duration // how long since the one before, when
+		ends  int                // the look with which the listener may be closed; -1: with none of them
+	}{
+		"in time":               {[][2]time.Duration{{10 * ms, 490 * ms}, {10 * ms, 500 * ms}, {10 * ms, 510 * ms}, {10 * ms, 520 * ms}}, 3},
+		"stopped for a while":   {[][2]time.Duration{{10 * ms, 350 * ms}, {180 * ms, 530 * ms}, {10 * ms, 540 * ms}, {10 * ms, 550 * ms}, {10 * ms, 560 * ms}}, 4},
+		"late again and again":  {[][2]time.Duration{{50 * ms, 500 * ms}, {10 * ms, 510 * ms}, {50 * ms, 560 * ms}, {10 * ms, 570 * ms}}, -1},
+		"no time left":          {[][2]time.Duration{{900 * ms, 1450 * ms}}, 0},
+		"somebody asks at last": {[][2]time.Duration{{10 * ms, 500 * ms}, {10 * ms, 510 * ms}, {10 * ms, -1}, {10 * ms, 530 * ms}, {10 * ms, 540 * ms}}, -1},
+	} {
+		e, got := ending{plan: planStop(1000 * ms)}, -1
+		for i, l := range c.looks {
+			asked, now := -time.Hour, l[1]
+			if now < 0 {
+				now, asked = 520*ms, 515*ms
+			}
+			if e.over(l[0], now, asked) {
+				got = i
+				break
+			}
+		}
+		if got != c.ends {
+			t.Errorf("%s: closed at look %d, want %d", name, got, c.ends)
+		}
+	}
+}
