Keep the place of a request that was read to its end, however late its handler begins

Where the clients' part is full, the connection that has not sent all of its request for 150 ms makes room. The time runs until the request's handler begins: on a machine that is late, one that was read to its last byte was closed as slow to come. It is taken then, and lost.

Change: the scan of a connection's bytes tells when a request with no body has ended; from then on its connection counts as at work. A request with a body keeps its clock: its end can't be told by the head, and a body that drips must stay evictable.

Tests: TestReadRequestKeepsItsPlace (fails with the mend out, three cases; six more that must still make room). TestConnectionComesUpTooLate holds what was so before: an attempt whose connection comes up behind its time-out counts as never run, and its descriptor is free at once.

--- a/internal/conntable/conntable.go
+++ b/internal/conntable/conntable.go
@@ -155,6 +155,14 @@
 	return false
 }
 
+// Read tells that all bytes of a request that needs no more of them were read: from here on it counts
+// as at work. To close its connection then would lose it, however late its handler begins.
+func (t *Table) Read(now time.Duration, c *Conn) {
+	if c.phase == partial && !c.over {
+		t.move(now, c, atWork)
+	}
+}
+
 // Delay gives one that Surplus named another grace: the node had been too busy to read
 // what has come.
 func (t *Table) Delay(now time.Duration, c *Conn) {
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -78,8 +78,19 @@
 	length  int
 	lengths atomic.Int32
 	codings atomic.Int32
+
+	// Of the request that is being read; guarded by conns.mu.
+	lines  int  // of its head
+	headed bool // that has ended
+	framed bool // and had, or has so far, a field that tells of a body
 }
 
+// whole tells that the request that is being read has come to its end: it has no body.
+func (s *fieldScan) whole() bool { return s.headed && !s.framed }
+
+// next has the scan look for the next request's head.
+func (s *fieldScan) next() { s.lines, s.headed, s.framed = 0, false, false }
+
 func (s *fieldScan) feed(p []byte) {
 	for len(p) > 0 {
 		end := bytes.IndexByte(p, '\n')
@@ -92,12 +103,17 @@
 			return
 		}
 		name, _, _ := bytes.Cut(s.start[:s.length], []byte(":"))
-		switch name = bytes.TrimRight(name, " \t"); {
+		switch name = bytes.TrimRight(name, " \t\r"); {
 		case bytes.EqualFold(name, []byte("content-length")):
 			s.lengths.Add(1)
+			s.framed = s.framed || !s.headed
 		case bytes.EqualFold(name, []byte("transfer-encoding")):
 			s.codings.Add(1)
+			s.framed = s.framed || !s.headed
+		case len(name) == 0 && s.lines > 0: // RFC 9112, 2.2: empty lines ahead of a request are none of it
+			s.headed = true
 		}
+		s.lines++
 		s.length = 0
 		p = p[end+1:]
 	}
@@ -115,13 +131,16 @@
 	if n == 0 {
 		return n, err
 	}
-	c.seen.feed(p[:n])
 	cs := c.conns
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	c.seen.feed(p[:n])
 	if !cs.spoke(c) {
 		return 0, net.ErrClosed
 	}
+	if c.seen.whole() {
+		cs.table.Read(cs.now(), c.entry)
+	}
 	return n, err
 }
 
@@ -159,6 +178,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	c.http2 = http2
+	c.seen.next()
 	cs.table.Whole(cs.now(), c.entry)
 	cs.poke()
 	return !c.entry.Ended(), c.entry.Over()
--- a/internal/httpfront/clients_test.go
+++ b/internal/httpfront/clients_test.go
@@ -214,3 +214,45 @@
 		})
 	}
 }
+
+// A request that was read to its end is not thrown out for being slow to come, however late this
+// process gets to its handler; one that has not come to its end is.
+func TestReadRequestKeepsItsPlace(t *testing.T) {
+	t.Parallel()
+	const get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+	for text, stays := range map[string]bool{
+		get: true, "\r\n" + get: true, get + "GET": true,
+		get[:len(get)-2]: false, "GET /x HTTP/1.1\r\n": false, "\r\n": false,
+		"POST /x HTTP/1.1\r\nContent-Length: 5\r\n\r\n":                        false,
+		"POST /x HTTP/1.1\r\nContent-Length: 5\r\n\r\n\r\n\r\n":                false,
+		"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\na\r\n\r\n": false,
+	} {
+		cs := newClientConns(conntable.Limits{Asked: 1, Silent: 4, Over: 1})
+		l := cappedListener{testkit.Listen(t), cs}
+		speak := func(text string) *clientConn {
+			there, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { there.Close() })
+			io.WriteString(there, text)
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+			if _, err := io.ReadFull(c, make([]byte, len(text))); err != nil && stays {
+				t.Errorf("%q: %v", text, err)
+			}
+			return c.(*clientConn)
+		}
+		first := speak(text)
+		cs.mu.Lock()
+		cs.zero = cs.zero.Add(-time.Second) // nobody got to it for a second
+		cs.mu.Unlock()
+		speak("GET /y")
+		if got := !first.entry.Ended(); got != stays {
+			t.Errorf("%q: stays %v, want %v", text, got, stays)
+		}
+	}
+}
--- a/internal/httpup/httpup_test.go
+++ b/internal/httpup/httpup_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -314,3 +315,39 @@
 		}
 	}
 }
+
+// A connection that comes up late, behind its time-out, carries nothing: the attempt counts as never
+// run, its descriptor is free at once, and what comes up all the same is closed.
+func TestConnectionComesUpTooLate(t *testing.T) {
+	l := testkit.Listen(t)
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) }) // one waits to be accepted, the next ones don't come up
+	first, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	u := New(Options{ServersIdle: 15 * time.Second, ConnectTimeout: 50 * time.Millisecond, MaxOpen: 10})
+	u.Update(true, []Server{{ID: 1, Address: l.Addr().String()}})
+	if status, _ := send(t.Context(), u, 1); status != policy.ConnectFailed {
+		t.Errorf("status %d: it has surely not run", status)
+	}
+	if n := u.Open(); n != 0 {
+		t.Errorf("%d connections are counted", n)
+	}
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(1500 * time.Millisecond)) // the next SYN would come after a second
+	for range 2 {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		nc.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // first says nothing
+		if text, err := io.ReadAll(nc); len(text) > 0 {
+			t.Errorf("%q, %v", text, err)
+		}
+		nc.Close()
+	}
+}
