Hold what clients that leave are owed over HTTP/2 and where a joiner waits

Checked: HTTP/2 reads the frames of a connection on whatever its streams do, so a stream or a connection that is given up ends its request (TestClientLeavesWhileItWaits in internal/h2front, no change needed); the external processor has TestCallerLeaves. Where a keyed repeat has joined, the first's leaving must not bar the send: TestLeftIsNotAskedOfTheFirstAlone fails with the look at joiners taken out.

--- /dev/null
+++ b/internal/h2front/leaving_test.go
@@ -0,0 +1,81 @@
+package h2front_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"yokestall/internal/conntable"
+	"yokestall/internal/engine"
+	"yokestall/internal/h2front"
+	"yokestall/internal/httpfront"
+	"yokestall/internal/ingress"
+	"yokestall/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// holding is a cluster that holds each request until its context ends.
+type holding struct{ came, over chan struct{} }
+
+func (h *holding) Route(*http.Request) (ingress.Destination, error) {
+	return ingress.Destination{Cluster: h, Deadline: time.Hour, MaxAttempts: 1}, nil
+}
+
+func (h *holding) Do(ctx context.Context, _ *engine.Request) (engine.Answer, error) {
+	h.came <- struct{}{}
+	<-ctx.Done()
+	h.over <- struct{}{}
+	return engine.Answer{}, engine.ErrLeft
+}
+
+// Over HTTP/2 a client that gives up its stream, or its connection, while the request waits ends the
+// request: the frames of a connection are read on whatever its streams do.
+func TestClientLeavesWhileItWaits(t *testing.T) {
+	for _, cuts := range []bool{false, true} {
+		h := &holding{make(chan struct{}, 1), make(chan struct{}, 1)}
+		clock := engine.NewClock()
+		f := httpfront.New(h, httpfront.Options{Clock: clock, Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t)})
+		l := testkit.Listen(t)
+		srv := f.Server()
+		h2front.Attach(srv, h2front.Options{Streams: 10, Stall: testkit.Patience, Clock: clock, Log: testkit.Log(t)})
+		served := make(chan error, 1)
+		go func() { served <- f.Serve(srv, f.Listener(l)) }()
+		var nc net.Conn
+		peer := &http2.Transport{AllowHTTP: true, DialTLSContext: func(ctx context.Context, _, addr string, _ *tls.Config) (net.Conn, error) {
+			var err error
+			nc, err = (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			return nc, err
+		}}
+		ctx, leave := context.WithCancel(t.Context())
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String()+"/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gone := make(chan struct{})
+		go func() {
+			defer close(gone)
+			if resp, err := peer.RoundTrip(r); err == nil {
+				resp.Body.Close()
+				t.Error("an answer")
+			}
+		}()
+		testkit.Wait(t, h.came, "the request")
+		if cuts {
+			nc.Close()
+		} else {
+			leave()
+		}
+		testkit.Wait(t, h.over, "the request to be given up")
+		testkit.Wait(t, gone, "the client")
+		leave()
+		peer.CloseIdleConnections()
+		srv.Close()
+		<-served
+	}
+}
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -157,6 +157,36 @@
 	}
 }
 
+// What is asked right before a send goes by the first's client alone where nobody else waits, and by
+// nobody's leaving where a joiner does.
+func TestLeftIsNotAskedOfTheFirstAlone(t *testing.T) {
+	for _, joined := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			clock, goes := engine.NewClock(), make(chan struct{})
+			s := &stub{run: func(context.Context, int64) (engine.Answer, error) { <-goes; return served("a"), nil }}
+			c := New(limits(), clock).Cluster(s, window, 0)
+			left := false
+			r := asked(clock, "k", "x")
+			r.Left = func() bool { return left }
+			var all sync.WaitGroup
+			all.Go(func() { c.Do(t.Context(), r) })
+			synctest.Wait()
+			if joined {
+				all.Go(func() { c.Do(t.Context(), asked(clock, "k", "x")) })
+				synctest.Wait()
+			}
+			if r.Left() {
+				t.Error("left while its client waits")
+			}
+			if left = true; r.Left() == joined {
+				t.Errorf("joined %v: left %v once the first's client has gone", joined, r.Left())
+			}
+			close(goes)
+			all.Wait()
+		})
+	}
+}
+
 // A process is killed at a drawn moment and comes back with its log: a key that had started is not
 // taken for new, one that was refused is, and one whose start the disk did not take never ran.
 func TestKnownAfterACrash(t *testing.T) {
