Force the crossing of a client that leaves and a connection that comes up late

Change: the test stands before the engine and the pool themselves, and leaves once the pool counts a connection that is being opened.

--- /dev/null
+++ b/internal/httpfront/late_test.go
@@ -0,0 +1,77 @@
+package httpfront
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yokestall/internal/conntable"
+	"yokestall/internal/engine"
+	"yokestall/internal/httpup"
+	"yokestall/internal/ingress"
+	"yokestall/internal/testkit"
+	"yokestall/policy"
+)
+
+// A request whose client leaves while a connection for it comes up late is not sent on it, and the
+// connection is given up at once.
+func TestLeavesWhileAConnectionComesUp(t *testing.T) {
+	t.Parallel()
+	for name, more := range map[string]string{"nothing": "", "a request": "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", "rubbish": strings.Repeat("rubbish", 1000)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := testkit.Listen(t).(*net.TCPListener)
+			raw, err := l.SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) }) // one waits to be accepted; the next ones come up only then
+			first, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer first.Close()
+			set := policy.Defaults()
+			set.Limits.Cancel = true
+			set.Classes = []policy.Class{{Deadline: time.Hour, Aim: time.Minute, Worth: 1, Effect: policy.Safe}}
+			pool := httpup.New(httpup.Options{ServersIdle: time.Minute, ConnectTimeout: 2 * testkit.Patience, MaxOpen: 4})
+			pool.Update(true, []httpup.Server{{ID: 1, Address: l.Addr().String()}})
+			clock := engine.NewClock()
+			cluster, err := engine.New(t.Context(), set, pool, engine.Options{Seed: 1, Clock: clock})
+			if err != nil {
+				t.Fatal(err)
+			}
+			cluster.Members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready, Weight: 1}})
+			f := New(routes(func(*http.Request) (ingress.Destination, error) {
+				return ingress.Destination{Cluster: cluster, Deadline: time.Hour}, nil
+			}), Options{Clock: clock, Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t), Strict: true})
+			nc, err := net.Dial("tcp", serve(t, f))
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprint(nc, "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: i\r\nX-Timeout-Ms: 3000000\r\n\r\n")
+			testkit.Until(t, "a connection to be opened", func() bool { return pool.Open() == 1 })
+			io.WriteString(nc, more)
+			nc.Close()
+			testkit.Until(t, "it to be given up", func() bool { return pool.Open() == 0 })
+			testkit.Until(t, "the client's to be over", func() bool { return f.Connections() == 0 })
+			late, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			late.Close()                                           // first
+			l.SetDeadline(time.Now().Add(1500 * time.Millisecond)) // the next SYN would come after a second
+			if late, err = l.Accept(); err == nil {
+				if text, _ := io.ReadAll(late); len(text) > 0 {
+					t.Errorf("%q was sent", text)
+				}
+				late.Close()
+			}
+		})
+	}
+}
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -66,49 +65,6 @@
 	}
 }
 
-// A request whose client leaves while a connection for it comes up late is not sent on it.
-func TestLeavesWhileAConnectionComesUp(t *testing.T) {
-	t.Parallel()
-	for name, more := range behind {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			l := testkit.Listen(t)
-			raw, err := l.(*net.TCPListener).SyscallConn()
-			if err != nil {
-				t.Fatal(err)
-			}
-			raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) }) // one waits to be accepted; the next ones come up only then
-			first, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer first.Close()
-			d := newRegistry(t, registry.Line{InstanceID: "s-0", HostPort: l.Addr().String(), Zone: "a", Lifecycle: "Ready", Weight: 1})
-			n := start(t, testConfig(t, d, nil))
-			n.waitReady(http.StatusOK)
-			nc := n.dial()
-			if err := n.request("pay").Write(nc); err != nil {
-				t.Fatal(err)
-			}
-			io.WriteString(nc, more)
-			leave(t, nc)
-			// The connection comes up now, if it was not given up. Nothing may be sent on it.
-			for range 2 {
-				l.(*net.TCPListener).SetDeadline(time.Now().Add(1500 * time.Millisecond)) // the next SYN comes after a second
-				late, err := l.Accept()
-				if err != nil {
-					break
-				}
-				late.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-				if text, _ := io.ReadAll(late); len(text) > 0 {
-					t.Errorf("%q was sent", text)
-				}
-				late.Close()
-			}
-		})
-	}
-}
-
 // A thousand clients leave in bursts while their requests wait behind a server that stands still,
 // with bytes behind them and without. Then it goes on: none is sent on 0.3 s after its client left.
 func TestStormOfLeavingClients(t *testing.T) {
