Take an agent's first answer on top of the list that the process was given

Cause, read along one start: the first call asks for what is newer than the configuration's list, since the second-look mend with no list told before. Its answer is a delta, often of nothing; take (internal/node/discovery.go) laid it over an empty list. With nothing changed nothing was told and the start waited for its time-outs; with something changed the node knew the changed servers alone.

Change: the first answer tells the known list first, then what has changed, and only then requests are taken.

TestOldDiscoveryUntilTheNewOneSpeaks hung on a busy machine, its stand-in blocked on calls that nobody took: every call is answered now, and a full queue ends with the test.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -54,10 +54,11 @@
 	mu        sync.Mutex // guards what follows, and keeps news in their order
 	list      registry.Known
 	admin     maint.State
-	source    *source       // whose list it is
-	told      bool          // a list was
-	recheck   registry.Pace // after answers in doubt
-	recheckAt time.Time     // when all is asked for again; zero: no need
+	source    *source         // whose list it is
+	told      bool            // a list was
+	had       []registry.Line // what the start was given
+	recheck   registry.Pace   // after answers in doubt
+	recheckAt time.Time       // when all is asked for again; zero: no need
 }
 
 // source is one address of discovery.
@@ -128,6 +129,7 @@
 	d.mu.Lock()
 	s := d.source
 	s.generation, s.listed = last.Generation, len(last.Instances) > 0
+	d.had = last.Instances
 	d.mu.Unlock()
 	var following sync.WaitGroup
 	defer following.Wait()
@@ -148,9 +150,11 @@
 		if len(last.Instances) > 0 {
 			d.tell(policy.ListCached, d.list.Whole(&registry.Answer{Reset: true, Lines: last.Instances}))
 			settled()
+			d.settled()
 		} else if d.asked {
 			d.tell(policy.ListCached, nil) // has the module ask for the list
 			d.told = false
+			d.settled()
 		} else {
 			d.settled() // the agent has nothing to say, and there is nothing else to go by
 		}
@@ -275,6 +279,10 @@
 	}
 	s.over = nil
 	s.listed, s.generation = true, a.Generation
+	if !d.told && len(d.had) > 0 { // the answer may tell of changes alone
+		d.tell(policy.ListCached, d.list.Whole(&registry.Answer{Reset: true, Lines: d.had}))
+	}
+	defer d.settled()
 	switch {
 	case a.Doubt != nil:
 		d.recheckAt = time.Now().Add(wait)
@@ -459,7 +467,6 @@
 		begun()
 	}
 	d.told = true
-	d.settled()
 }
 
 // started maps wall time onto the clock.
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -30,7 +30,11 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		with, ended := make(chan known, 1), make(chan struct{})
 		defer close(ended)
-		came <- agentCall{r.URL.RawQuery, with, ended}
+		select {
+		case came <- agentCall{r.URL.RawQuery, with, ended}:
+		case <-over:
+			return
+		}
 		select {
 		case k := <-with:
 			text, _ := json.MarshalIndent(k, "", "  ") // lists may come indented
@@ -92,6 +96,37 @@
 	}
 }
 
+// The first answer of an agent tells of changes since the list that the process was given, if of any:
+// both together are what it serves by, and it is ready with that answer.
+func TestFirstAnswerTellsOfChangesAlone(t *testing.T) {
+	t.Parallel()
+	for name, changed := range map[string]bool{"none": false, "one": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := testkit.NewBackend(t, testkit.OK), testkit.NewBackend(t, testkit.OK)
+			addr, calls := agent(t)
+			n := told(t, addr, listOf(3, instanceAt(a, "s-a"), instanceAt(b, "s-b")), func(c *Config) {
+				c.terms = registry.Pushed(c.DrainGrace)
+				c.terms.Start, c.terms.Ready = 10*testkit.Patience, 20*testkit.Patience // the answer alone ends the wait
+			})
+			delta := known{Generation: 3, Instances: []registry.Line{}}
+			if changed {
+				delta = known{Generation: 4, Instances: []registry.Line{draining(instanceAt(a, "s-a"))}}
+			}
+			testkit.Wait(t, calls, "the first call").with <- delta
+			n.waitReady(http.StatusOK)
+			for range 40 {
+				if r := n.do(n.request("read")); r.status != http.StatusOK {
+					t.Fatalf("status %d", r.status)
+				}
+			}
+			if changed && len(a.Got) > 0 || len(a.Got)+len(b.Got) != 40 {
+				t.Errorf("%d and %d sends", len(a.Got), len(b.Got))
+			}
+		})
+	}
+}
+
 // An agent that is silent as a process starts, as with a discovery that is down, keeps the node
 // from neither serving nor being ready: the known list is all that there is.
 func TestAgentSilentAtTheStart(t *testing.T) {
@@ -211,9 +246,10 @@
 	if len(a.Got) != 0 {
 		t.Errorf("%d sends to a server of whose drain the old one told", len(a.Got))
 	}
-	next := testkit.Wait(t, fresh, "a second look at the new one")
-	next.with <- listOf(7, instanceAt(a, "s-a"))
 	testkit.Until(t, "the new list to be in force", func() bool {
+		for len(fresh) > 0 { // those that were given up by now take no answer
+			(<-fresh).with <- listOf(7, instanceAt(a, "s-a"))
+		}
 		n.do(n.request("read"))
 		return len(a.Got) > 0
 	})
