Send no repeat of a keyed request behind its window, however late its connection

Need: rule 2 lets a repeat go out within the window from the first send that may have run. Ruled out: drains and clients that have left, which Begin asks about.

Change: engine.window keeps, for each keyed request, when its attempts that may have run began; Begin bars a send once the window of any of them is over, and takes out what surely never ran.

Shown: TestRepeatWhoseConnectionComesUpBehindTheWindow and TestWindowBeginsWithWhatIsSentFirst, seen to fail with the check taken out ("the second attempt was sent: true").

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -18,6 +18,7 @@
 	sent   func(server policy.ServerID, at time.Duration) // Options.Sent
 	may    func() bool                                    // Request.May
 	left   func() bool                                    // Request.Left
+	window *window                                        // of a keyed request; nil: it is none
 
 	mu      sync.Mutex
 	stopped bool
@@ -92,7 +93,7 @@
 
 // Begin asks for leave to send. It is true once at most: not after the request's final
 // answer, nor Options.DrainGrace after word that the server drains, nor where Request.May or Request.Left say
-// so.
+// so, nor for a keyed request where the window is over in which servers drop its repeats.
 func (c *Call) Begin() bool {
 	if c.server == nil { // of NewCall
 		return c.gate.CompareAndSwap(unsent, begun)
@@ -101,7 +102,11 @@
 	if c.server.barred(now) || c.may != nil && !c.may() || c.left != nil && c.left() {
 		c.Revoke()
 	}
-	if !c.gate.CompareAndSwap(unsent, begun) {
+	if c.window != nil {
+		if !c.window.begin(c, now) {
+			return false
+		}
+	} else if !c.gate.CompareAndSwap(unsent, begun) {
 		return false
 	}
 	if c.sent != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,7 +6,9 @@
 //   - each request gets exactly one final answer, 5 ms after its end at the latest;
 //   - nothing goes out for a request that has its final answer;
 //   - nothing new goes to a server Options.DrainGrace after the engine was told that it
-//     drains or is gone, whatever was decided before.
+//     drains or is gone, whatever was decided before;
+//   - no repeat of a keyed request goes out once the window is over in which servers drop it,
+//     however late its connection comes up.
 package engine
 
 import (
@@ -133,6 +135,7 @@
 	balancer *policy.Balancer
 	requests map[policy.RequestID]*Request
 	lastID   policy.RequestID
+	classes  []policy.Class
 	maxTries int
 	retries  int           // second and later attempts that are out
 	leaving  bool          // Abandon was called: nothing more is taken up
@@ -174,7 +177,7 @@
 		clock: o.Clock, ex: ex, watch: o.Watch, sent: o.Sent,
 		events: make(chan event, eventQueue), gone: make(chan struct{}),
 		members: map[policy.ServerID]*member{}, requests: map[policy.RequestID]*Request{},
-		maxTries: set.Limits.MaxAttempts, comeBack: set.Limits.MaxRetryAfter,
+		classes: set.Classes, maxTries: set.Limits.MaxAttempts, comeBack: set.Limits.MaxRetryAfter,
 	}
 	if c.grace = o.DrainGrace; c.grace == 0 {
 		c.grace = DrainGrace
@@ -415,6 +418,9 @@
 		r.End = now + comingMost
 	}
 	r.deadline = alarm{at: r.End, request: r, index: -1}
+	if r.Class >= 0 && r.Class < len(c.classes) && c.classes[r.Class].Effect == policy.Keyed {
+		r.window = &window{span: c.classes[r.Class].Window}
+	}
 	if c.leaving {
 		c.finish(r, Answer{Verdict: Refused, RetryAfter: c.comeBack})
 		c.release(r)
@@ -488,7 +494,11 @@
 	} else {
 		a.Stop()
 	}
-	r.ran = r.ran || a.mayHaveRun(res.Status)
+	if a.mayHaveRun(res.Status) {
+		r.ran = true
+	} else if r.window != nil {
+		r.window.neverRan(&a.Call)
+	}
 	c.alarms.clear(&a.timeout)
 	switch {
 	case r.ended && r.Late != nil && res.Status == policy.OK && !served:
@@ -560,7 +570,7 @@
 	c.mu.RLock()
 	a.server = c.members[server]
 	c.mu.RUnlock()
-	a.to, a.clock, a.sent, a.may, a.left = server, c.clock, c.sent, r.May, r.Left
+	a.to, a.clock, a.sent, a.may, a.left, a.window = server, c.clock, c.sent, r.May, r.Left, r.window
 	index := len(r.attempts)
 	if index == 0 {
 		r.attempts = r.first[:0]
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -61,6 +61,7 @@
 	ran      bool // an attempt that has ended may have run
 	said     any  // Result.Answer of the latest attempt that was not served
 	deadline alarm
+	window   *window // of a keyed request; nil: it is none
 }
 
 // attempt is one send of a request.
--- /dev/null
+++ b/internal/engine/window_test.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yokestall/internal/testkit"
+	"yokestall/policy"
+)
+
+// A repeat that was decided within its window, and whose connection comes up behind it, is not sent:
+// the servers have forgotten the first one, and would run it again. One behind attempts that never ran
+// is no repeat.
+func TestRepeatWhoseConnectionComesUpBehindTheWindow(t *testing.T) {
+	for name, first := range map[string]struct {
+		status policy.Status
+		sent   bool
+	}{
+		"the first may have run": {policy.Reset, false},
+		"the first never ran":    {policy.Full, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var number atomic.Int32
+			attempts := make(chan bool, 4)
+			c := start(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
+				if number.Add(1) == 1 {
+					attempts <- call.Begin()
+					return Result{Status: first.status}
+				}
+				call.clock.zero = call.clock.zero.Add(-settings().Classes[1].Window) // this one's connection took that long
+				attempts <- call.Begin()
+				return Result{Status: policy.Error}
+			}), 1, 2)
+			go c.Do(t.Context(), c.request(1, testkit.Patience))
+			if !testkit.Wait(t, attempts, "the first attempt") {
+				t.Fatal("the first attempt was not sent")
+			}
+			if sent := testkit.Wait(t, attempts, "the second attempt"); sent != first.sent {
+				t.Errorf("the second attempt was sent: %v, want %v", sent, first.sent)
+			}
+		})
+	}
+}
+
+// Of two copies that are out, the one that was decided first may be the last to get its connection.
+func TestWindowBeginsWithWhatIsSentFirst(t *testing.T) {
+	w := &window{span: time.Second}
+	first, copied, third := &Call{}, &Call{}, &Call{}
+	if !w.begin(copied, time.Minute) {
+		t.Error("the copy was not sent")
+	}
+	if w.begin(first, time.Minute+w.span) {
+		t.Error("sent when the copy's window was over")
+	}
+	if first.gate.Load() != revoked {
+		t.Error("what is barred counts as one that may run")
+	}
+	w.neverRan(copied)
+	if !w.begin(third, time.Minute+w.span) {
+		t.Error("barred by one that never ran")
+	}
+	if w.begin(third, time.Minute+w.span) {
+		t.Error("sent twice")
+	}
+}
