Answer a keyed request at once when no server may get it any more

Need: what is given up is answered at once. A keyed request whose first attempt may have run was held where its window had ended (group all) or its group had been tried, up to the end of its use: maySend refused every server, and nobody asked whether one would ever do.

Change: request.spent and mayRepeat say what earlier attempts bar; retry gives up what no listed server may get, by its group too, and shed ends the wait of what was held when its window ended.

Shown: TestNothingIsHeldThatNobodyMayGet, all four cases fail without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -244,16 +244,8 @@
 	if r.done || r.stream || now >= r.end || len(r.attempts) >= b.set.Limits.MaxAttempts || s.State != Ready {
 		return false
 	}
-	for i := range r.attempts {
-		a := &r.attempts[i]
-		switch {
-		case a.neverRan:
-			continue
-		case a.out && !b.set.Limits.SecondCopies, r.class.Effect == Unsafe:
-			return false
-		case r.class.Effect == Keyed && (now-a.sent >= r.class.Window || !r.class.sameGroup(a, s)):
-			return false
-		}
+	if r.out > 0 && !b.set.Limits.SecondCopies || !r.mayRepeat(now, s) {
+		return false
 	}
 	return b.coldBudget(s, now, b.loneLatency(r))
 }
@@ -535,10 +527,11 @@
 // retry waits for the backoff of a further attempt, or answers now if none fits.
 func (b *Balancer) retry(now time.Duration, r *request) {
 	delay := b.jitter(min(time.Duration(float64(r.class.Aim)*backoffPart)<<(len(r.attempts)-1), backoffMost))
-	over := len(r.attempts) >= b.set.Limits.MaxAttempts || !b.chance() ||
-		!r.mayRefuse() && (r.class.Effect == Unsafe || now-r.attempts[0].sent >= r.class.Window) ||
+	over := len(r.attempts) >= b.set.Limits.MaxAttempts || !b.chance() || r.spent(now+delay) ||
 		!r.attempts[len(r.attempts)-1].neverRan && // else the list may be about to change
-			!slices.ContainsFunc(b.ready, func(s *server) bool { return !r.tried(s) }) // each one only once
+			!slices.ContainsFunc(b.ready, func(s *server) bool { // each one only once
+				return !r.tried(s) && r.mayRepeat(now, s)
+			})
 	if over || now+delay+b.expected(r) > r.lastUse() {
 		b.giveUp(r)
 		return
@@ -598,8 +591,8 @@
 	}
 }
 
-// shed ends the wait of held requests that cannot be answered in time any more: what is held ahead of
-// them goes first, at the pace at which answers make room (Little, 1961).
+// shed ends the wait of held requests that cannot be sent, or answered in time, any more: what is held ahead
+// of them goes first, at the pace at which answers make room (Little, 1961).
 func (b *Balancer) shed(now time.Duration) {
 	wait, pace := 0.0, b.pace()
 	b.held = slices.DeleteFunc(b.held, func(r *request) bool {
@@ -607,7 +600,7 @@
 		if r.class.seen >= guessed { // else it is not known yet what its answers take
 			need += wait
 		}
-		if r.done || now+time.Duration(need) <= r.useful {
+		if r.done || now+time.Duration(need) <= r.useful && !r.spent(now) {
 			wait += pace
 			return false // dispatch drops those that are done
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -622,6 +622,58 @@
 	}
 }
 
+// Guards against holding a keyed request that no server may get any more: the window of its first attempt
+// is over, or nobody in its group is left. It is answered at once, refused where its group is all servers.
+func TestNothingIsHeldThatNobodyMayGet(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope   Scope
+		window  time.Duration
+		servers int           // two to a cell
+		took    time.Duration // by each attempt, until it breaks
+	}{
+		"its window ends while it waits to be sent again": {ScopeAll, 100 * ms, 9, 80 * ms},
+		"its window was over":                             {ScopeAll, 100 * ms, 9, 150 * ms},
+		"its cell has been tried":                         {ScopeCell, time.Second, 9, 20 * ms},
+	} {
+		set := testSettings()
+		set.Limits.SecondCopies = false
+		set.Classes[1].Scope, set.Classes[1].Window = c.scope, c.window
+		r := newRig(t, set, c.servers)
+		r.serve(30, 1, 20*ms)
+		id := r.request(1)
+		given := func() bool { _, refused := r.h.refused[id]; return refused || r.h.failed[id] }
+		for !given() && r.done[id] < 4 {
+			r.pass(c.took)
+			if r.done[id] == len(r.sendsOf(id)) {
+				break
+			}
+			r.end(id, Reset, c.took)
+			if len(r.sendsOf(id)) == 1 && c.scope == ScopeCell {
+				r.pass(200 * ms) // the other one of its cell
+			}
+		}
+		if _, refused := r.h.refused[id]; !given() || refused != (c.scope == ScopeAll) {
+			t.Errorf("%s: after %d attempts refused %v, failed %v", name, r.done[id], refused, r.h.failed[id])
+		}
+	}
+	// One that is held for room when its window ends.
+	set := testSettings()
+	set.Limits.SecondCopies = false
+	set.Classes[1].Scope, set.Classes[1].Window = ScopeAll, 300*ms
+	r := newRig(t, set, 2)
+	r.serve(30, 1, 20*ms)
+	id := r.request(1)
+	r.pass(20 * ms)
+	r.end(id, Reset, 20*ms)
+	for range 40 {
+		r.request(0) // nobody has room for it when its backoff is over
+	}
+	r.pass(400 * ms)
+	if _, refused := r.h.refused[id]; !refused || len(r.sendsOf(id)) != 1 {
+		t.Errorf("held for room: refused %v after %d sends", refused, len(r.sendsOf(id)))
+	}
+}
+
 // Guards against a full server that is always free for more: with the others at their
 // bound it drew 4,223 attempts in 5 s, each turned away.
 func TestFullServerGetsAGrowingPause(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -460,6 +460,28 @@
 	}
 }
 
+// mayRepeat tells whether a further attempt at a server repeats no effect. An earlier one may have run.
+func (r *request) mayRepeat(now time.Duration, s *server) bool {
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.neverRan && r.class.Effect == Keyed && !r.class.sameGroup(a, s) {
+			return false
+		}
+	}
+	return !r.spent(now)
+}
+
+// spent tells whether an attempt that may have run bars any further one from then on, at whatever server.
+func (r *request) spent(now time.Duration) bool {
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.neverRan && (r.class.Effect == Unsafe || r.class.Effect == Keyed && now-a.sent >= r.class.Window) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *class) sameGroup(a *attempt, s *server) bool {
 	switch c.Scope {
 	case ScopeZone:
