See a client of the platform leave behind more than its sockets hold

Need: a request whose client left while it waited must not be sent on 0.3 s later.

Change: with Strict, where nothing may come behind an open request, what does not fit ahead is read and dropped, 1 MiB a look at most, and the connection ends with the answer. From the answer on nothing is dropped. Other listeners let clients send ahead and keep all of it: there the kernel is asked as before.

Shown: TestFloodBehindARequest: without the change all three cases wait in vain (9 MB behind a request; 4 MB were taken by the sockets).

--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -310,10 +310,13 @@
 	}
 	if c != nil && r.ProtoMajor == 1 {
 		var unwatch func()
-		ctx, q.Left, unwatch = c.watch(ctx)
+		ctx, q.Left, unwatch = c.watch(ctx, f.options.Strict && payload.Upload == nil)
 		defer unwatch()
 	}
 	a, err := to.Cluster.Do(ctx, q)
+	if c != nil {
+		c.answered()
+	}
 	f.disclaim(id)
 	if u := payload.Upload; u != nil {
 		if err != nil {
@@ -345,7 +348,7 @@
 	} else {
 		control.SetWriteDeadline(time.Now().Add(q.End - f.options.Clock.Now() + writeTimeout))
 	}
-	if c != nil && c.last() {
+	if c != nil && (c.last() || c.cut()) {
 		w.Header().Set("Connection", "close")
 	}
 	if answer, ok := a.Value.(*httpup.Answer); ok {
--- a/internal/httpfront/gone_test.go
+++ b/internal/httpfront/gone_test.go
@@ -193,6 +193,66 @@
 	}
 }
 
+// A client of the platform sends one request at a time. One that sends more than its end can be seen
+// behind, more even than the sockets hold, and leaves is seen all the same; one that stays gets its answer,
+// and nothing of what it sent behind is served.
+func TestFloodBehindARequest(t *testing.T) {
+	t.Parallel()
+	const head = "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: i\r\nX-Timeout-Ms: 3000000\r\n\r\n"
+	flood := strings.Repeat(head, 1<<17) // 9 MB
+	ask := func(t *testing.T, to ingress.Router) (*Front, net.Conn) {
+		f := New(to, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t), Strict: true})
+		nc, err := net.Dial("tcp", serve(t, f))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		io.WriteString(nc, head)
+		return f, nc
+	}
+	t.Run("and leaves", func(t *testing.T) {
+		t.Parallel()
+		h := &holding{make(chan *engine.Request, 1), make(chan *engine.Request, 1)}
+		_, nc := ask(t, h)
+		testkit.Wait(t, h.came, "the request")
+		nc.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) // it does not wait to be read
+		io.WriteString(nc, flood)
+		nc.Close() // its end lies behind what found no room
+		testkit.Wait(t, h.over, "the request to be given up")
+	})
+	for _, others := range []int64{0, maxAheadAll} { // held of other connections
+		t.Run(fmt.Sprint("and stays, ", others, " held"), func(t *testing.T) {
+			t.Parallel()
+			came, answer := make(chan bool, 2), make(chan bool)
+			f, nc := ask(t, routes(func(*http.Request) (ingress.Destination, error) {
+				return ingress.Destination{Cluster: decides(func() engine.Answer {
+					came <- true
+					<-answer
+					return engine.Answer{Verdict: engine.Refused}
+				}), Deadline: time.Hour, MaxAttempts: 1}, nil
+			}))
+			f.conns.ahead.Add(others)
+			testkit.Wait(t, came, "the request")
+			nc.SetDeadline(time.Now().Add(testkit.Patience))
+			if n, err := io.WriteString(nc, flood); err != nil { // more than the sockets hold
+				t.Fatalf("the flood was not read behind %d bytes: %v", n, err)
+			}
+			if n := f.conns.ahead.Load() - others; n > maxAhead+aheadPart {
+				t.Errorf("%d bytes are held", n)
+			}
+			close(answer)
+			text, _ := io.ReadAll(nc) // ends with a reset where bytes were left unread
+			if !strings.HasPrefix(string(text), "HTTP/1.1 503") || !strings.Contains(string(text), "Connection: close") || strings.Count(string(text), "HTTP/1.1") != 1 {
+				t.Errorf("answered by %q", text)
+			}
+			if len(came) > 0 {
+				t.Error("what came behind was served")
+			}
+			testkit.Until(t, "the connection to be over", func() bool { return f.conns.ahead.Load() == others })
+		})
+	}
+}
+
 type routes func(*http.Request) (ingress.Destination, error)
 
 func (r routes) Route(q *http.Request) (ingress.Destination, error) { return r(q) }
--- a/internal/httpfront/leaving.go
+++ b/internal/httpfront/leaving.go
@@ -14,11 +14,16 @@
 	// moment a client leaves nothing may be sent on for it 0.3 s later.
 	leaveLook = 100 * time.Millisecond
 	// maxAhead is how many bytes are read ahead of a connection to see its end behind them, and
-	// maxAheadAll how many of a front's connections together. What lies behind that stays in the
-	// socket, and the end is asked of the kernel.
+	// maxAheadAll how many of a front's connections together. What lies behind that is dropped
+	// where nobody may send it (Options.Strict); else it stays in the socket, and the end is asked
+	// of the kernel, which knows of it once the client's last byte has found room here.
 	maxAhead    = 64 << 10
 	maxAheadAll = 2 << 20
 	aheadPart   = 4 << 10
+	// dropMost is how many bytes are dropped at a look, which bounds what a flood costs: where
+	// there is more the next look comes after dropLook.
+	dropMost = 1 << 20
+	dropLook = 10 * time.Millisecond
 )
 
 // reading is what a clientConn knows of its client's side: bytes that were read ahead, and the end.
@@ -30,6 +35,8 @@
 	busy  bool   // a Read of the socket is under way: it sees the end, nothing is read ahead
 	ahead []byte // read, and not given to any Read yet
 	ended bool   // the client's end lies behind ahead
+	alone bool   // nothing may come behind the request that is open: what does not fit ahead is dropped
+	gap   bool   // something was: nothing comes behind ahead any more
 }
 
 // take gives what was read ahead; where that is nothing and the end is not known the caller may read
@@ -45,7 +52,7 @@
 		}
 		return n, nil, false
 	}
-	if c.ended {
+	if c.ended || c.gap {
 		return 0, io.EOF, false
 	}
 	c.busy = true
@@ -113,23 +120,31 @@
 	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET), n > 0
 }
 
-// readAhead reads what has come, within the bounds; more: there may be more than that. c.side is held.
+// readAhead reads what has come, within the bounds; more: there may be more than that. Where the rest is
+// dropped a first part is kept whatever the others hold: net/http takes a Read beside the handler that
+// gives an end, and no byte, for the client's end. c.side is held.
 func (c *clientConn) readAhead(fd int) (ended, more bool) {
-	for {
-		if len(c.ahead) >= maxAhead {
-			return false, true
-		}
-		if c.conns.ahead.Add(aheadPart) > maxAheadAll {
+	for dropped := 0; ; {
+		keep := !c.gap && len(c.ahead) < maxAhead
+		if keep && c.conns.ahead.Add(aheadPart) > maxAheadAll && !(c.alone && len(c.ahead) == 0) {
 			c.conns.ahead.Add(-aheadPart)
+			keep = false
+		}
+		if !keep && (!c.alone || dropped >= dropMost) {
 			_, more = peekEnd(fd)
 			return false, more
 		}
 		var part [aheadPart]byte
 		n, err := syscall.Read(fd, part[:])
-		c.conns.ahead.Add(int64(max(n, 0)) - aheadPart)
+		if keep {
+			c.conns.ahead.Add(int64(max(n, 0)) - aheadPart)
+		}
 		switch {
-		case n > 0:
+		case n > 0 && keep:
 			c.ahead = append(c.ahead, part[:n]...)
+		case n > 0:
+			c.gap = true
+			dropped += n
 		case n == 0 && err == nil, errors.Is(err, syscall.ECONNRESET):
 			return true, false
 		case !errors.Is(err, syscall.EINTR):
@@ -138,6 +153,20 @@
 	}
 }
 
+// answered tells that the request that was alone has its answer: the next one may come from now on.
+func (c *clientConn) answered() {
+	c.side.Lock() // a look that is under way ends first
+	defer c.side.Unlock()
+	c.alone = false
+}
+
+// cut tells whether bytes of the client's were dropped: its connection has to end with the answer.
+func (c *clientConn) cut() bool {
+	c.side.Lock()
+	defer c.side.Unlock()
+	return c.gap
+}
+
 // closedByPeer asks the kernel whether the other side has ended the connection (tcp(7), TCP_INFO),
 // where bytes that are not read hide it.
 func closedByPeer(fd int) bool {
@@ -154,9 +183,13 @@
 }
 
 // watch gives a context that ends when the client leaves, at the latest leaveLook and a moment after
-// it did, and what asks the same at once. done ends the watch.
-func (c *clientConn) watch(ctx context.Context) (here context.Context, left func() bool, done func()) {
+// it did, and what asks the same at once. done ends the watch. alone: the request is whole, and nothing
+// may come behind it before its answer.
+func (c *clientConn) watch(ctx context.Context, alone bool) (here context.Context, left func() bool, done func()) {
 	here, cancel := context.WithCancel(ctx)
+	c.side.Lock()
+	c.alone = alone
+	c.side.Unlock()
 	left = func() bool {
 		if here.Err() == nil && c.left() {
 			cancel()
@@ -165,7 +198,11 @@
 	}
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
-		if !left() {
+		switch {
+		case left():
+		case c.cut():
+			timer.Reset(dropLook)
+		default:
 			timer.Reset(leaveLook)
 		}
 	})
