Take the end of a long answer that never said where it ends for a break

Need: a part of an answer must not be taken for the whole. An answer over HTTP/1.1 with neither a length nor chunks nor 'Connection: close' counts as reset when its connection ends (its length may have been lost on the way, and its end too); but one of over 64 KiB, which goes on while it comes, was passed on as whole.

Shown: TestAnswersWithNoLength, of which two cases fail without the change.

--- a/internal/httpup/answer.go
+++ b/internal/httpup/answer.go
@@ -80,7 +80,7 @@
 	case len(body) > MaxBody && !u.anyAnswer: // by 4 KB at most else
 		return engine.Result{Status: policy.Error}, false
 	case head, u.anyAnswer && resp.Close && c.ended == io.EOF:
-	case u.large && c.ended == io.EOF && (c.saidClose || !resp.ProtoAtLeast(1, 1)): // RFC 9112, 6.3
+	case u.large && c.ended == io.EOF && !c.untold(resp):
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return engine.Result{Status: policy.Reset}, false // ends with the connection: nothing tells that it is whole
 	}
@@ -98,6 +98,12 @@
 	return out, keep
 }
 
+// untold tells of an answer over HTTP/1.1 with neither a length nor chunks that does not say either that it
+// ends with its connection (RFC 9112, 6.3): its length may have been lost on the way, and its end too.
+func (c *conn) untold(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !c.saidClose && resp.ProtoAtLeast(1, 1)
+}
+
 // moving reads a body whose every part has to come within AnswerSpan, however long the whole takes.
 type moving struct {
 	io.Reader
--- a/internal/httpup/httpup_test.go
+++ b/internal/httpup/httpup_test.go
@@ -102,6 +102,36 @@
 }
 
 // Where any answer under 500 is served, its status goes with it.
+// An answer with no length ends with its connection where it says so. Else the end may be that of a part,
+// also of one that is too long to be waited for.
+func TestAnswersWithNoLength(t *testing.T) {
+	for head, whole := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n\r\n": false, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n": true, "HTTP/1.0 200 OK\r\n\r\n": true,
+	} {
+		for _, length := range []int{2, MaxBody + 1, 4 * MaxBody} {
+			t.Run(fmt.Sprintf("%.28q of %d", head, length), func(t *testing.T) {
+				addr, _ := testkit.Script(t, head+strings.Repeat("x", length), true)
+				u, id := poolTo(addr)
+				u.large = true
+				r := &Request{Method: "POST", Target: "/pay", Host: "x", Header: http.Header{}, Body: []byte("b")}
+				res := u.Exchange(engine.NewCall(t.Context()), id, r, time.Minute)
+				got, err := 0, error(nil)
+				if a, ok := res.Answer.(*Answer); ok && a.Stream != nil {
+					var body []byte
+					body, err = io.ReadAll(a.Stream)
+					got = len(body)
+					a.Close()
+				} else if ok {
+					got = len(a.Body)
+				}
+				if served := res.Status == policy.OK && err == nil; served != whole || served && got != length {
+					t.Errorf("taken for whole: %v (status %d, %v), %d bytes of %d", served, res.Status, err, got, length)
+				}
+			})
+		}
+	}
+}
+
 func TestAnyAnswer(t *testing.T) {
 	addr, _ := backend(t, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no such room", 404) })
 	u := New(Options{ServersIdle: 15 * time.Second, ConnectTimeout: 5 * time.Second, MaxOpen: 10, AnyAnswer: true})
--- a/internal/httpup/stream.go
+++ b/internal/httpup/stream.go
@@ -43,6 +43,8 @@
 	keep  bool     // the connection may be used again after the body's end
 	close sync.Once
 	ended bool // the body was read to its end
+	// untold: nothing said where the body ends. The connection's end may be a part's (see receive).
+	untold bool
 }
 
 // Read implements Stream.
@@ -58,7 +60,10 @@
 	s.conn.budget = maxAnswer // bounds what one look may read, not the whole
 	s.conn.SetReadDeadline(time.Now().Add(s.stall))
 	n, err := s.body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF && s.untold:
+		return n, io.ErrUnexpectedEOF
+	case err == io.EOF:
 		s.ended = true
 	}
 	return n, err
@@ -93,6 +98,7 @@
 	c.limit(false)
 	return engine.Result{Status: policy.OK, Answer: &Answer{
 		Status: resp.StatusCode, Header: EndToEnd(resp.Header), Length: resp.ContentLength,
-		Stream: &stream{pool: u, conn: c, stall: o.Patience(), resp: resp, start: start, body: resp.Body, up: up, keep: !resp.Close},
+		Stream: &stream{pool: u, conn: c, stall: o.Patience(), resp: resp, start: start, body: resp.Body, up: up, keep: !resp.Close,
+			untold: !u.anyAnswer && c.untold(resp)},
 	}}
 }
