Close listeners of serve when what waits in them had its turn, and cut off nothing taken

Need: the node waits, before it closes its socket, for looks that were in time; 'yokestall serve' and the external processor closed theirs at once, with what the kernel had taken for them.

Change: internal/closing holds the looks (pure) and a listener that waits for them; the node, the listeners of serve and the processor use it. Front.Refuse has what comes behind the last moment in which a request has its time answered at once; what is silent at the end is closed before the last answers, as at the node.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -31,7 +31,9 @@
 const (
 	// stopTail is how long a stop waits for connections after the longest deadline.
 	stopTail = 300 * time.Millisecond
-	overPart = 16 // connections told to come back, as a part of those that have asked
+	// stopAnswers is how long before its end a request's last answer is out, whatever its deadline.
+	stopAnswers = 50 * time.Millisecond
+	overPart    = 16 // connections told to come back, as a part of those that have asked
 )
 
 // App is the product program. Create it with New.
--- a/internal/app/listen.go
+++ b/internal/app/listen.go
@@ -12,6 +12,7 @@
 
 	"github.com/pires/go-proxyproto"
 
+	"yokestall/internal/closing"
 	"yokestall/internal/config"
 	"yokestall/internal/conntable"
 	"yokestall/internal/edge"
@@ -110,14 +111,23 @@
 		}
 		ls.start(set, ls.opened(socket))
 	}
+	ls.end(func(address string) bool { return !wanted[address] })
+	return nil
+}
+
+// end ends the listeners of some addresses, each once what waits in its socket had its turn; ls.mu is held.
+func (ls *Listeners) end(which func(address string) bool) {
+	var closed sync.WaitGroup
 	for address, l := range ls.open {
-		if !wanted[address] {
-			l.door.Close()
-			l.stop()
+		if which(address) {
+			closed.Go(func() {
+				l.door.Close()
+				l.stop()
+			})
 			delete(ls.open, address)
 		}
 	}
-	return nil
+	closed.Wait()
 }
 
 // door is a socket whose connections go to whoever serves it at the time: a connection that
@@ -130,7 +140,7 @@
 }
 
 func (ls *Listeners) opened(l net.Listener) *door {
-	d := &door{Listener: l, came: make(chan net.Conn), gone: make(chan struct{})}
+	d := &door{Listener: closing.Listener(l), came: make(chan net.Conn), gone: make(chan struct{})}
 	ls.done.Go(func() {
 		for wait := acceptPause; ; {
 			nc, err := l.Accept()
@@ -163,8 +173,9 @@
 
 // Close ends the socket.
 func (d *door) Close() error {
+	err := d.Listener.Close() // what waits there has its turn first
 	d.end.Do(func() { close(d.gone) })
-	return d.Listener.Close()
+	return err
 }
 
 // through is a door while one server has it; closing it leaves the door open.
@@ -215,11 +226,7 @@
 // Close ends all listeners and waits until they have finished.
 func (ls *Listeners) Close() {
 	ls.mu.Lock()
-	for _, l := range ls.open {
-		l.door.Close()
-		l.stop()
-	}
-	clear(ls.open)
+	ls.end(func(string) bool { return true })
 	ls.mu.Unlock()
 	ls.done.Wait()
 }
@@ -227,7 +234,7 @@
 // Serve serves clients on a listener, by the first one's settings, until ctx ends, then
 // answers what was taken.
 func (a *App) Serve(ctx context.Context, l net.Listener) error {
-	return a.ServeBy(ctx, l, a.state.Load().program.Listener)
+	return a.ServeBy(ctx, closing.Listener(l), a.state.Load().program.Listener)
 }
 
 // ServeBy is Serve by other settings.
@@ -293,8 +300,12 @@
 	for _, c := range a.state.Load().program.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	limit, cancel := context.WithTimeout(context.Background(), max(longest, set.Drain)+stopTail)
+	patience := max(longest, set.Drain) + stopTail
+	limit, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	// What was taken before has its time; what comes behind that would be cut off with its connection.
+	defer time.AfterFunc(patience-longest-stopAnswers, front.Refuse).Stop()
+	defer time.AfterFunc(patience-stopAnswers, front.CloseSilent).Stop() // what they send behind that would find nobody
 	front.Drain(limit)
 	if over2 != nil {
 		// What rests ends by itself now that it was told to move. Shutdown waits for it, and
--- a/internal/extproc/serve.go
+++ b/internal/extproc/serve.go
@@ -15,6 +15,8 @@
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/reflection"
+
+	"yokestall/internal/closing"
 )
 
 // Bounds of a connection.
@@ -59,6 +61,7 @@
 	case <-ctx.Done():
 	}
 	alive.Shutdown()
+	closing.Await() // the server drops what it accepts from here on
 	graceful := make(chan struct{})
 	go func() {
 		defer close(graceful)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -82,6 +82,7 @@
 	ready    atomic.Bool // a list of servers is known
 	stopping atomic.Bool
 	draining atomic.Bool  // a stop is in its last part
+	refusing atomic.Bool  // there is no time left for what comes now
 	lame     atomic.Bool  // the node is being emptied, or empty
 	asked    atomic.Int64 // when a request was last taken, Unix nanoseconds
 	taken    atomic.Int64 // requests
@@ -120,6 +121,10 @@
 // Draining has answers tell clients to move.
 func (f *Front) Draining() { f.draining.Store(true) }
 
+// Refuse has whatever comes from now on answered at once: a stop leaves it no time, and to take it would be
+// to lose it.
+func (f *Front) Refuse() { f.refusing.Store(true) }
+
 // Empty has the node's clients go elsewhere, until Refill or the end of ctx: it is not ready, each
 // answer ends its connection, and connections between two requests are closed after a while. What
 // comes is served all the same. It does not wait; again, it does nothing.
@@ -273,7 +278,7 @@
 		switch open, over := c.whole(r.ProtoMajor == 2); {
 		case !open:
 			panic(http.ErrAbortHandler) // to serve it here too would be to serve it twice
-		case over:
+		case over, f.refusing.Load():
 			w.Header().Set("Connection", "close")
 			write(w, r.Method == http.MethodHead, engine.Answer{Verdict: engine.Refused, RetryAfter: to.MaxRetryAfter})
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"yokestall/internal/closing"
 	"yokestall/internal/engine"
 	"yokestall/internal/handover"
 	"yokestall/internal/httpfront"
@@ -180,7 +181,7 @@
 	}
 	front.Stopping()
 	for e, before := (ending{plan: plan}), time.Now(); ; {
-		time.Sleep(endingLook)
+		time.Sleep(closing.Look)
 		now := time.Now()
 		if e.over(now.Sub(before), now.Sub(began), front.Asked().Sub(began)) {
 			break
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"yokestall/internal/closing"
+)
 
 const (
 	// frontNotice is how long connections are still dealt to a node that stops,
@@ -37,27 +41,17 @@
 // ending is what a stop knows while it serves on.
 type ending struct {
 	plan stopPlan
-	calm int // looks in a row that were in time and found that nobody asks
+	turn closing.Turn // of what waits in the kernel, since nobody asks
 }
 
-const (
-	endingLook = 10 * time.Millisecond
-	// endingLate is a look so late that others of the process may have waited as long: what lies
-	// in the listener's queue then has not had its turn.
-	endingLate = 3 * endingLook
-	endingCalm = 3
-)
-
 // over takes a look that came so long after the one before it, and tells whether the listener may be
-// closed: the plan has ended serving, and for some looks whatever waits in the kernel had its turn.
+// closed: the plan has ended serving, and whatever waits in the kernel had its turn since.
 func (e *ending) over(took, now, asked time.Duration) bool {
-	switch {
-	case e.plan.serves(now, asked) || took > endingLate:
-		e.calm = 0
-	default:
-		e.calm++
+	if e.plan.serves(now, asked) {
+		e.turn = closing.Turn{}
+		return false
 	}
-	return e.calm >= endingCalm || now >= e.plan.abandons()
+	return e.turn.Look(took) || now >= e.plan.abandons()
 }
 
 // idles is how long a client's connection may be idle in a process that hands over to a later
