Answer an operator by all that the fleet has agreed on, not by what one voter has

Need: TestReleaseStops had failed once, "version 0 is not in the history", cause not followed. Cause: operators' words and publishes are weighed against the log as the asked voter has it; one that has just started, or lags, refused what the others had long taken up, or said that no release goes on.

Change: agree.Voter.Read asks the leader how far the log goes (raft's read index, confirmed by a majority), Seen tells when that is here; peers weighs words and publishes by that.

--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -34,6 +34,8 @@
 	majority   without = "one voter's promise is enough"
 	ownLease   without = "an owner does not look at its lease"
 	freed      without = "a work is given on at once"
+	reading    without = "a voter answers by what it has"
+	lives      without = "a read's answer may be an earlier life's"
 )
 
 // heldMost is how long the network may hold a message and deliver it all the same.
@@ -61,6 +63,8 @@
 	pendingAt map[uint64]time.Duration
 	takeovers int
 	tokens    map[string]uint64 // by work: the highest that an owner acted by
+	applied   uint64            // the last entry that any voter has applied
+	reads     int               // that were answered
 }
 
 type simNode struct {
@@ -80,6 +84,7 @@
 	cutUntil    time.Duration // all its links
 	deafUntil   time.Duration // what is sent to it is lost
 	late        []func()
+	reads       map[uint64]uint64 // that wait for their answer: what was applied somewhere before
 }
 
 type simEvent struct {
@@ -153,7 +158,7 @@
 
 func (s *fleetSim) start(n *simNode) {
 	n.life++
-	n.down, n.acting, n.late, n.pausedUntil, n.owned = false, Rules{}, nil, 0, nil
+	n.down, n.acting, n.late, n.pausedUntil, n.owned, n.reads = false, Rules{}, nil, 0, nil, map[uint64]uint64{}
 	now := n.clock(s.now)
 	voters := len(s.voters)
 	heard := map[uint64]time.Duration{}
@@ -175,6 +180,9 @@
 			v.desk.quiet = 0
 		}
 		n.voter = v
+		if s.out != lives {
+			v.Life = uint64(n.life)
+		}
 		for i := range 6 {
 			v.Works = append(v.Works, fmt.Sprint("w", i))
 		}
@@ -189,10 +197,26 @@
 func (s *fleetSim) ticks(n *simNode) {
 	s.on(n, time.Duration(float64(Tick)/n.rate), func() {
 		n.voter.Tick(n.clock(s.now))
+		if s.rng.IntN(10) == 0 {
+			n.reads[n.voter.Read()] = s.applied
+		}
 		s.ticks(n)
 	})
 }
 
+// read holds what a voter says is all of the log against what had been applied when it was asked.
+func (s *fleetSim) read(n *simNode) {
+	for id, upto := range n.reads {
+		if s.out != reading && !n.voter.Seen(id) {
+			continue
+		}
+		if delete(n.reads, id); n.voter.State().Index < upto {
+			s.broken = append(s.broken, fmt.Sprintf("%v: %s says that the log ends at %d, and %d had been applied", s.now, n.name, n.voter.State().Index, upto))
+		}
+		s.reads++
+	}
+}
+
 func (s *fleetSim) asks(n *simNode) {
 	s.on(n, time.Duration(float64(s.terms.Renew())/n.rate), func() {
 		s.ask(n)
@@ -305,6 +329,7 @@
 			s.takeovers++
 			s.ask(n)
 		}
+		s.read(n)
 		s.judgeOwners()
 		if s.out == waiting && v.State().Pending != 0 {
 			v.desk.holders, v.desk.quiet = map[holder]*held{}, 0
@@ -315,6 +340,7 @@
 
 // note books what a voter has newly applied.
 func (s *fleetSim) note(before, now *State) {
+	s.applied = max(s.applied, now.Index)
 	for _, m := range now.History {
 		if before.Version(m.Number) == nil {
 			if was, known := s.acked[m.ID]; known && was != m.Number {
@@ -564,7 +590,7 @@
 	if testing.Short() || raced { // the whole number is played without the detector
 		seeds = min(seeds, 8)
 	}
-	versions, changes, takeovers := 0, 0, 0
+	versions, changes, takeovers, reads := 0, 0, 0, 0
 	for seed := range uint64(seeds) {
 		cryptotest.SetGlobalRandom(t, seed)
 		s := play(t, seed, 3+2*int(seed%3), int(seed%5), nothing)
@@ -572,12 +598,13 @@
 		if len(s.broken) > 0 {
 			t.Fatalf("seed %d: %d findings, first: %s", seed, len(s.broken), s.broken[0])
 		}
-		versions, changes, takeovers = versions+s.versions, changes+s.changes, takeovers+s.takeovers
+		versions, changes, takeovers, reads = versions+s.versions, changes+s.changes, takeovers+s.takeovers, reads+s.reads
 	}
-	if versions < seeds || changes < 4*seeds || takeovers < 4*seeds {
-		t.Errorf("%d versions, %d changes, %d sets of works: too few to say anything", versions, changes, takeovers)
+	if versions < seeds || changes < 4*seeds || takeovers < 4*seeds || reads < 100*seeds {
+		t.Errorf("%d versions, %d changes, %d sets of works, %d reads: too few to say anything", versions, changes, takeovers, reads)
 	}
-	t.Logf("%d seeds: %d versions, %d changes over of a node, no contradiction; %d sets of works taken, never two owners", seeds, versions, changes, takeovers)
+	t.Logf("%d seeds: %d versions, %d changes over of a node, no contradiction; %d sets of works taken, never two owners; %d reads, none of a log that had gone on",
+		seeds, versions, changes, takeovers, reads)
 }
 
 // Each guard that is left out is found by the same runs.
@@ -585,7 +612,7 @@
 	if raced {
 		t.Skip("played without the race detector")
 	}
-	for _, out := range []without{leaseCheck, atWake, waiting, quietStart, drift, fromAnswer, confirmed, majority, ownLease, freed} {
+	for _, out := range []without{leaseCheck, atWake, waiting, quietStart, drift, fromAnswer, confirmed, majority, ownLease, freed, reading, lives} {
 		t.Run(string(out), func(t *testing.T) {
 			for seed := range uint64(400) {
 				cryptotest.SetGlobalRandom(t, seed)
--- a/internal/fleet/agree/voter.go
+++ b/internal/fleet/agree/voter.go
@@ -1,6 +1,7 @@
 package agree
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -60,6 +61,9 @@
 // taken from it. It is not safe for concurrent use.
 type Voter struct {
 	ID uint64
+	// Life is a number that no earlier life of the voter had: what comes late for one of these is told
+	// apart by it.
+	Life uint64
 	// Works are to have owners among Eligible.
 	Works    []string
 	Eligible []string
@@ -74,6 +78,10 @@
 	commit  uint64
 	ticks   int
 	told    map[string]told
+
+	reads    uint64 // how often Read was called
+	read     uint64 // the latest of them that was answered
+	readUpto uint64 // what is to be applied for it
 }
 
 // NewVoter starts a voter from its disk.
@@ -152,6 +160,24 @@
 	return v.node.Propose(data)
 }
 
+// Read asks the leader how far the log goes at this moment, and gives a number for Seen. Without a
+// leader, or where a message is lost, there is no answer: it is to be called again after a while.
+func (v *Voter) Read() uint64 {
+	v.reads++
+	var of []byte // a leader tells the reads of all voters apart by this alone
+	for _, n := range []uint64{v.ID, v.Life, v.reads} {
+		of = binary.BigEndian.AppendUint64(of, n)
+	}
+	v.node.ReadIndex(of)
+	return v.reads
+}
+
+// Seen tells whether State has all that was committed anywhere when a Read was called.
+func (v *Voter) Seen(read uint64) bool { return v.read >= read && v.state.Index >= v.readUpto }
+
+// Reads is how far reads have been answered: it grows.
+func (v *Voter) Reads() uint64 { return v.read }
+
 // Ask grants a lease, if the voter has caught up with what it knew before it started.
 func (v *Voter) Ask(now time.Duration, a Ask) (Grant, error) {
 	if v.state.Index < v.commit {
@@ -223,6 +249,12 @@
 	if err := v.storage.Append(w.Entries); err != nil {
 		return nil, err
 	}
+	for _, r := range w.ready.ReadStates {
+		life, n := binary.BigEndian.Uint64(r.RequestCtx[8:]), binary.BigEndian.Uint64(r.RequestCtx[16:])
+		if life == v.Life && n > v.read { // each answers those before it too
+			v.read, v.readUpto = n, r.Index
+		}
+	}
 	if len(w.ready.CommittedEntries) > 0 {
 		next := v.state.Clone() // those who were given the state keep theirs
 		for _, e := range w.ready.CommittedEntries {
--- a/internal/fleet/peers/node.go
+++ b/internal/fleet/peers/node.go
@@ -10,12 +10,15 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"yokestall/internal/config"
 	"yokestall/internal/fleet/agree"
@@ -184,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	v.Works = works()
+	v.Works, v.Life = works(), rand.Uint64()
 	for _, other := range n.Voters {
 		v.Eligible = append(v.Eligible, other.Name)
 	}
@@ -263,6 +266,46 @@
 	return n.voter.State(), n.changed
 }
 
+// readAgain is how often a voter asks the leader how far the log goes until it has an answer.
+const readAgain = 5 * agree.Tick
+
+// present gives the state with all that was taken up anywhere before the call. What a voter has of the
+// log may be behind: what it answers by that may have been true once.
+func (n *Node) present(ctx context.Context) (*agree.State, error) {
+	ctx, stop := context.WithTimeout(ctx, askFor)
+	defer stop()
+	first := uint64(0)
+	read := func() error {
+		return n.with(func(v *agree.Voter) error {
+			if id := v.Read(); first == 0 {
+				first = id
+			}
+			return nil
+		})
+	}
+	again := time.NewTicker(readAgain)
+	defer again.Stop()
+	for err := read(); ; {
+		if err != nil {
+			return nil, err
+		}
+		n.mu.Lock()
+		voter, changed := n.voter, n.changed
+		if voter != nil && voter.Seen(first) {
+			defer n.mu.Unlock()
+			return voter.State(), nil
+		}
+		n.mu.Unlock()
+		select {
+		case <-changed:
+		case <-again.C:
+			err = read()
+		case <-ctx.Done():
+			return nil, status.Error(codes.Unavailable, "no leader of the log answers") // another voter may have one
+		}
+	}
+}
+
 func (n *Node) tick() {
 	t := time.NewTicker(agree.Tick)
 	defer t.Stop()
@@ -292,7 +335,7 @@
 // pump does what the voter wants done; n.mu is held. After a write that failed the node votes no more: what it
 // has said may be lost.
 func (n *Node) pump() error {
-	before := n.voter.State().Facts()
+	before, reads := n.voter.State().Facts(), n.voter.Reads()
 	for {
 		w, some := n.voter.Ready()
 		if !some {
@@ -314,7 +357,7 @@
 			return err
 		}
 	}
-	if now := n.voter.State(); now.Facts() != before {
+	if now := n.voter.State(); now.Facts() != before || n.voter.Reads() != reads {
 		n.tell()
 	}
 	return nil
--- a/internal/fleet/peers/release.go
+++ b/internal/fleet/peers/release.go
@@ -32,10 +32,13 @@
 
 // control takes an operator's word.
 func (n *Node) control(ctx context.Context, in *Control) (*Controlled, error) {
-	s := n.state()
+	s, err := n.present(ctx)
+	if asks := in.Begin == nil && in.Word == ""; err != nil && asks && n.state() != nil {
+		s, err = n.state(), nil // how it stands as far as is known here
+	}
 	switch {
-	case s == nil:
-		return nil, errNoVoter
+	case err != nil:
+		return nil, err
 	case in.Begin != nil:
 		if err := in.Begin.Check(); err != nil {
 			return &Controlled{Error: err.Error()}, nil
--- a/internal/fleet/peers/release_test.go
+++ b/internal/fleet/peers/release_test.go
@@ -141,3 +141,61 @@
 		t.Errorf("%+v, %v", s.History, err)
 	}
 }
+
+// A voter that has just started on an old log answers an operator by all that the fleet has agreed on meanwhile.
+func TestVoterThatIsBehindAnswersByTheLog(t *testing.T) {
+	g := newGroup(t, 3, 0)
+	for i := range 3 {
+		g.kill(i)
+		if i == 0 {
+			g.publish("one", 0, many(4))
+		}
+		r := agree.Release{ID: fmt.Sprint("r", i), Cluster: "rooms", Waves: [][]string{{fmt.Sprint("s-0000", i)}}, Away: time.Hour}
+		if i > 0 { // what it has not heard of, or only the begin of
+			if out := g.control(Control{Begin: &r}); out.Error != "" {
+				t.Fatalf("%+v", out)
+			}
+		}
+		g.start(i)
+		n := g.nodes[i].node
+		ask := func(in Control) (out *Controlled) {
+			testkit.Until(t, "a leader", func() bool {
+				var err error
+				out, err = n.control(g.patience(), &in)
+				return err == nil
+			})
+			return out
+		}
+		if i == 0 {
+			if out := ask(Control{Begin: &r}); out.Error != "" {
+				t.Errorf("asked of who missed the version: %+v", out)
+			}
+		}
+		if out := ask(Control{}); out.Error != "" || out.Progress.Release.ID != r.ID {
+			t.Errorf("asked of who missed the release: %+v", out)
+		}
+		if out := ask(Control{Word: "abort", Why: "test"}); out.Error != "" {
+			t.Errorf("%+v", out)
+		}
+		testkit.Until(t, "the release to end", func() bool { return g.control(Control{}).Progress.Ended != "" })
+	}
+	// A publisher is told of the present version, not of one that was.
+	var s *Status
+	testkit.Until(t, "the last release to be back", func() (calm bool) {
+		var err error
+		s, err = g.client.Newest(g.patience())
+		return err == nil && s.Facts.Pending == 0
+	})
+	parts := g.nodes[1].node.state().Version(1).Parts
+	g.kill(0)
+	g.inForce(g.publish("two", s.Facts.Number, many(5)).Number)
+	g.start(0)
+	n := g.nodes[0].node
+	testkit.Until(t, "a leader", func() bool {
+		out, err := n.publish(g.patience(), &Publish{ID: "three", Base: s.Facts.Number, Parts: parts})
+		if err == nil && out.Present != s.Facts.Number+1 {
+			t.Errorf("%+v, and version %d is there", out, s.Facts.Number+1)
+		}
+		return err == nil
+	})
+}
--- a/internal/fleet/peers/serve.go
+++ b/internal/fleet/peers/serve.go
@@ -244,9 +244,9 @@
 	if err := m.Check(); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	state := n.state()
-	if state == nil {
-		return nil, errNoVoter
+	state, err := n.present(ctx)
+	if err != nil {
+		return nil, err
 	}
 	if out := outcome(state, in.ID); out != nil {
 		return out, nil // it was sent twice
