Fuzz the node's configuration

Need: of our parsers this one had no fuzz target. Change: FuzzParseConfig holds that what is not refused can be started by: the module's settings, the split of descriptors, the figures of rules.

--- /dev/null
+++ b/internal/node/config_fuzz_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"yokestall/internal/engine"
+	"yokestall/policy"
+)
+
+// FuzzParseConfig holds that a configuration is either refused or one that a node can start by: the
+// module takes its settings, the split of descriptors stays within them, and the figures of rules are ones
+// that can be kept to.
+func FuzzParseConfig(f *testing.F) {
+	whole := `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":192,"sockets":256},"known":{"generation":3,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"Ready"}]},
+"settings":` + settingsText + `}`
+	f.Add([]byte(whole))
+	f.Add([]byte(whole[:len(whole)/2]))
+	f.Add([]byte(`{"settings":{}}`))
+	f.Add([]byte(`{"settings":{"Classes":[{"Name":"a","DeadlineMs":1e300}]}}`))
+	f.Add([]byte(`{"limits":{"sockets":64},"settings":{"Contract":{"DrainGraceMs":0},"Limits":{"ConnIdleMs":0.5}}}`))
+	f.Add([]byte(`{"limits":{"sockets":9223372036854775807},"settings":null}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := parseConfig(text)
+		if err != nil {
+			return
+		}
+		if _, err := policy.New(c.Policy, c.Seed, host{}); err != nil {
+			return // named by the module
+		}
+		servers, places, err := c.split(c.Limits.Sockets)
+		if err == nil && (servers < 1 || servers+places.Asked+places.Silent+places.Over+ownDescriptors > c.Limits.Sockets) {
+			t.Errorf("of %d descriptors %d are for servers, %+v for clients", c.Limits.Sockets, servers, places)
+		}
+		if c.DrainGrace < 0 || c.ConnIdle <= 0 || c.ConnectTimeout <= 0 || c.longestDeadline() <= 0 || planStop(c.longestDeadline()).whole > stopDeadline+stopSlack {
+			t.Errorf("grace %v, idle %v, connect %v, deadline %v", c.DrainGrace, c.ConnIdle, c.ConnectTimeout, c.longestDeadline())
+		}
+		for _, d := range []time.Duration{c.DrainGrace, c.ConnIdle, c.ConnectTimeout} {
+			if d > maxIdle {
+				t.Errorf("%v is longer than a day", d)
+			}
+		}
+		if newDiscovery(c, engine.NewClock(), nil, nil).terms.Most < 2 {
+			t.Error("no second look at discovery")
+		}
+	})
+}
+
+// host takes what a Balancer that is not used asks for.
+type host struct{ policy.Host }
+
+func (host) SetTimer(time.Duration, uint64) {}
