--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -53,7 +53,13 @@
 	Down        bool
 	Drain       bool // they drain, and are replaced by cold ones at To
 	Nodes       bool // First to Last are nodes, which are dead, and start anew at To, knowing nothing
-	With        model.Trouble
+	// Knows has these nodes start with what they knew when they died.
+	Knows bool
+	// Smaller is the share of its kind's speed that a server has which comes back from Down or Drain; 0: all of it.
+	Smaller float64
+	// Holds has servers work on, and their answers go out all at once at To.
+	Holds bool
+	With  model.Trouble
 }
 
 // Day is what is played.
@@ -217,6 +223,8 @@
 	coming time.Duration     // work sent that has not reached it
 	job    map[uint64]*event // by job
 	jobSeq uint64
+	holds  bool
+	held   []*event // answers that wait for the end of a trouble
 }
 
 // sim is a day while it is played.
@@ -246,6 +254,8 @@
 	down    bool
 	set     policy.Settings
 	starts  uint64
+	knew    *policy.Knowledge // when it died,
+	diedAt  time.Duration     // at that time
 	lending
 }
 
@@ -432,6 +442,10 @@
 
 // lose breaks the connections of jobs.
 func (s *sim) lose(m *member, lost []model.Job) {
+	for _, e := range m.held {
+		s.reply(e, policy.Reset)
+	}
+	m.held = nil
 	for _, j := range lost {
 		if e := m.job[j.ID]; e != nil {
 			delete(m.job, j.ID)
@@ -470,7 +484,10 @@
 		if k.effects++; k.effects == 2 && s.day.Classes[k.class].Effect == policy.Unsafe {
 			s.result.Twice++
 		}
-		if !m.Trouble.Silent {
+		switch {
+		case m.holds:
+			m.held = append(m.held, e)
+		case !m.Trouble.Silent:
 			s.reply(e, policy.OK)
 		}
 	}
@@ -480,10 +497,13 @@
 func (s *sim) trouble(t *Trouble, over bool) {
 	if t.Nodes {
 		for _, n := range s.nodes[t.First : t.Last+1] {
-			if over {
-				n.start() // it was made of the same settings before
-			} else {
+			if !over {
 				n.die()
+				continue
+			}
+			n.start() // it was made of the same settings before
+			if t.Knows {
+				n.inherit()
 			}
 		}
 		return
@@ -494,15 +514,21 @@
 		case t.Down && !over:
 			s.lose(m, m.Down())
 		case t.Down:
-			m.Start(s.now)
-			m.since = s.now
+			s.back(m, t)
 		case t.Drain && !over:
 			m.state = policy.Draining
 		case t.Drain: // another one in its place, cold
 			s.lose(m, m.Down())
 			s.lastID++
-			m.id, m.state, m.told, m.since = s.lastID, policy.Ready, 0, s.now
-			m.Start(s.now)
+			m.id, m.state, m.told = s.lastID, policy.Ready, 0
+			s.back(m, t)
+		case t.Holds && !over:
+			m.holds = true
+		case t.Holds:
+			for _, e := range m.held {
+				s.reply(e, policy.OK)
+			}
+			m.holds, m.held = false, nil
 		case over:
 			m.Trouble = model.Trouble{}
 		default:
@@ -512,6 +538,19 @@
 	s.post(event{at: s.now + s.day.News, kind: evNews})
 }
 
+// back has a server start, cold, perhaps as a smaller one.
+func (s *sim) back(m *member, t *Trouble) {
+	if t.Smaller > 0 { // another machine
+		kind := s.day.Kind
+		kind.Speed *= t.Smaller
+		m.Server = model.NewServer(&kind)
+		s.lastID++
+		m.id = s.lastID
+	}
+	m.Start(s.now)
+	m.since = s.now
+}
+
 // tell runs a decider's method, and then what it left to be told.
 func (n *node) tell(do func()) {
 	do()
--- a/internal/fleetsim/nodes.go
+++ b/internal/fleetsim/nodes.go
@@ -37,8 +37,25 @@
 	return nil
 }
 
+// knowing is a Decider that hands on what it knows; *policy.Balancer is one.
+type knowing interface {
+	Knowledge(now time.Duration) policy.Knowledge
+	Inherit(now time.Duration, k policy.Knowledge, age time.Duration)
+}
+
+// inherit has a node that has started take up what it knew when it died.
+func (n *node) inherit() {
+	if d, ok := n.decider.(knowing); ok && n.knew != nil {
+		n.tell(func() { d.Inherit(n.now, *n.knew, n.now-n.diedAt) })
+	}
+}
+
 // die ends a node: its clients see their connections break; what it has out at servers runs on, unheard.
 func (n *node) die() {
+	if d, ok := n.decider.(knowing); ok {
+		k := d.Knowledge(n.now)
+		n.knew, n.diedAt = &k, n.now
+	}
 	n.down = true
 	lost := slices.SortedFunc(maps.Values(n.tries), func(x, y *try) int { return cmp.Compare(x.id, y.id) })
 	n.tries = nil
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -33,6 +33,9 @@
 	if d.Servers > MaxReal || d.Nodes > MaxProcesses {
 		return nil, nil, false, fmt.Errorf("%s: %d servers and %d nodes; on sockets %d and %d at most", e.Name, d.Servers, d.Nodes, MaxReal, MaxProcesses)
 	}
+	if err := e.onSockets(); err != nil {
+		return nil, nil, false, err
+	}
 	r := &real{e: e, result: &fleetsim.Result{}, ids: map[uint64]int{}, rig: &fleet.Rig{}}
 	defer func() {
 		for _, b := range r.all {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -96,6 +96,9 @@
 		Slow   float64         `toml:"slow"`
 		Silent bool            `toml:"silent"`
 		Fail   float64         `toml:"fail"`
+		Knows  bool            `toml:"knows"`
+		Small  float64         `toml:"smaller"`
+		Holds  bool            `toml:"holds"`
 	} `toml:"trouble"`
 	Fault []struct {
 		From    config.Duration `toml:"from"`
@@ -241,18 +244,26 @@
 			report("trouble", i, "last", "%s %d to %d are not among the %d, from 0", what, t.First, t.Last, of)
 		}
 		kinds := 0
-		for _, on := range []bool{t.Down, t.Drain, t.Nodes, t.Slow != 0 || t.Silent || t.Fail != 0} {
+		for _, on := range []bool{t.Down, t.Drain, t.Nodes, t.Slow != 0 || t.Silent || t.Fail != 0, t.Holds} {
 			if on {
 				kinds++
 			}
 		}
 		if kinds != 1 {
-			report("trouble", i, "", "one of down, drain, nodes, or slow, silent and fail is wanted")
+			report("trouble", i, "", "one of down, drain, nodes, holds, or slow, silent and fail is wanted")
 		}
+		if t.Knows && !t.Nodes {
+			report("trouble", i, "knows", "it is of nodes alone")
+		}
+		if t.Small != 0 && !t.Down && !t.Drain {
+			report("trouble", i, "smaller", "it is of servers that are down or drain")
+		}
+		number("trouble", i, "smaller", t.Small, 0, 1)
 		number("trouble", i, "slow", t.Slow, 0, 1e4)
 		number("trouble", i, "fail", t.Fail, 0, 1)
 		e.Day.Troubles = append(e.Day.Troubles, fleetsim.Trouble{
 			From: t.From.Duration, To: t.To.Duration, First: t.First, Last: t.Last, Down: t.Down, Drain: t.Drain, Nodes: t.Nodes,
+			Knows: t.Knows, Smaller: t.Small, Holds: t.Holds,
 			With: model.Trouble{Slow: t.Slow, Silent: t.Silent, Fail: t.Fail},
 		})
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -132,6 +133,36 @@
 	}
 }
 
+// Nodes that lost power with their servers and start with what they knew are better off than blind ones where
+// the fleet is the same, and hardly worse off where all of it was replaced by smaller machines. Nobody is
+// pushed over either way.
+func TestKnowledgeThroughAPowerLoss(t *testing.T) {
+	for day, least := range map[string]float64{"power-nodes-too.toml": 0.005, "power-smaller.toml": -0.01} {
+		t.Run(day, func(t *testing.T) {
+			t.Parallel()
+			e, _ := read(t, day)
+			service := map[bool]float64{}
+			for _, knows := range []bool{false, true} {
+				e.Day.Troubles = slices.Clone(e.Day.Troubles)
+				for i := range e.Day.Troubles {
+					e.Day.Troubles[i].Knows = knows && e.Day.Troubles[i].Nodes
+				}
+				o, err := Run(e, "program", fleetsim.Program, 4)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if broken := o.Broken(); len(broken) > 0 {
+					t.Errorf("knows %v: %v", knows, broken)
+				}
+				service[knows] = o.Service()
+			}
+			if gain := service[true] - service[false]; gain < least {
+				t.Errorf("service %.4f with knowledge and %.4f without: %+.4f, at least %+.4f is wanted", service[true], service[false], gain, least)
+			}
+		})
+	}
+}
+
 // A comparison sees a difference that is there, and none where there is none.
 func TestCompare(t *testing.T) {
 	e, _ := read(t, "one-slow.toml")
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -36,6 +36,16 @@
 	mostOpen      = 4096
 )
 
+// onSockets tells whether a day's troubles can be played on sockets.
+func (e *Experiment) onSockets() error {
+	for i, t := range e.Day.Troubles {
+		if t.Knows || t.Smaller > 0 || t.Holds {
+			return fmt.Errorf("%s: trouble %d: knows, smaller and holds are of virtual time", e.Name, i+1)
+		}
+	}
+	return nil
+}
+
 // Real plays an experiment on sockets: the program itself, stand-ins that take their service times from the
 // model, and the load generator. Void tells that the generator was late itself, so that the result says
 // nothing.
@@ -47,6 +57,9 @@
 	if slices.ContainsFunc(d.Troubles, func(t fleetsim.Trouble) bool { return t.Nodes }) {
 		return nil, false, fmt.Errorf("%s: nodes die: lab fleet plays that", e.Name)
 	}
+	if err := e.onSockets(); err != nil {
+		return nil, false, err
+	}
 	r := &real{e: e, result: &fleetsim.Result{}, ids: map[uint64]int{}}
 	defer func() {
 		for _, b := range r.all {
--- a/policy/knowledge.go
+++ b/policy/knowledge.go
@@ -116,14 +116,18 @@
 // Inherit takes up what another Balancer of this node knew some time ago, before this one has
 // decided anything. What is known here from own outcomes is not touched, nor is a server that has
 // started since; a server that no list has named yet is left out. The older a bound, the less of
-// it is taken; outcomes count by their age as own ones do.
+// it is taken; outcomes count by their age as own ones do. What is known of classes and bounds is
+// known of the machines that served them: it counts by their share of the present ones, since those
+// that have come in their place may be of another size.
 func (b *Balancer) Inherit(now time.Duration, k Knowledge, age time.Duration) {
-	trust := math.Exp2(-age.Seconds() / trustFor.Seconds())
+	same := b.sameMachines(k.Servers)
+	trust := math.Exp2(-age.Seconds()/trustFor.Seconds()) * same
 	if len(k.Classes) == len(b.classes) {
 		for i, c := range k.Classes {
 			to := &b.classes[i]
-			to.lone, to.loneSeen = c.Lone, max(1, c.LoneSeen*trust)
-			to.work, to.seen = c.Work, max(1, c.Seen*trust)
+			to.lone += (c.Lone - to.lone) * same
+			to.work += (c.Work - to.work) * same
+			to.loneSeen, to.seen = max(1, c.LoneSeen*trust), max(1, c.Seen*trust)
 			to.hint, to.hinted = c.Hint, c.Hinted*trust
 		}
 	}
@@ -165,6 +169,27 @@
 	b.shareStale, b.refreshed = true, -1
 }
 
+// sameMachines is the share of the listed servers that somebody else knew too; 1 while none is listed.
+func (b *Balancer) sameMachines(known []ServerKnowledge) float64 {
+	knew := make(map[ServerID]bool, len(known))
+	for _, k := range known {
+		knew[k.Server] = true
+	}
+	listed, same := 0.0, 0.0
+	for id, s := range b.servers {
+		if s.State == Gone {
+			continue
+		}
+		if listed++; knew[id] {
+			same++
+		}
+	}
+	if listed == 0 {
+		return 1
+	}
+	return same / listed
+}
+
 // Part tells how much of what a node may send to cold servers this Balancer may: another one may
 // decide for the same node meanwhile. 1: all of it.
 func (b *Balancer) Part(part float64) { b.part = part }
--- a/policy/knowledge_test.go
+++ b/policy/knowledge_test.go
@@ -89,6 +89,30 @@
 	}
 }
 
+// What is known of classes and bounds counts by the share of the machines that served them.
+func TestInheritedFromOtherMachines(t *testing.T) {
+	d := donor(t) // of servers 1 to 4
+	k := d.b.Knowledge(d.now)
+	k.Bounds.Limit, k.Classes[0].Lone, k.Classes[0].LoneSeen = 21, 4, 100
+	for _, c := range []struct {
+		first, last int // servers of the heir
+		share       float64
+	}{{1, 4, 1}, {3, 6, 0.5}, {11, 14, 0}} {
+		h := newRig(t, testSettings(), 0)
+		h.now = d.now
+		h.list(ListFull, ready(c.first, c.last)...)
+		class, limit := &h.b.classes[0], h.b.limit
+		lone := class.lone
+		h.b.Inherit(h.now, k, 0)
+		if want := limit + (21-limit)*c.share; math.Abs(h.b.limit-want) > 1e-9 {
+			t.Errorf("servers %d to %d: bound %v, want %v", c.first, c.last, h.b.limit, want)
+		}
+		if want := lone + (4-lone)*c.share; math.Abs(class.lone-want) > 1e-9 || class.loneSeen != max(1, 100*c.share) {
+			t.Errorf("servers %d to %d: a lone request takes %v by %v answers, want %v", c.first, c.last, class.lone, class.loneSeen, want)
+		}
+	}
+}
+
 // While two share a node neither spends more than its part of a cold server's budget.
 func TestPartOfTheColdBudget(t *testing.T) {
 	spent := func(part float64) (work float64) {
