Name no server for a repeat whose window ends before the caller may have sent it

Need: the same mistake at the external processor: it names a server for a repeat within the window, and the caller sends some time until its request's end.

Change: Call.BeginUndrained is told that time, and engine.window holds a repeat to it. Begin is as it was.

Shown: TestRepeatThatIsSentByOthers, which fails without it ("with 40s for it the second attempt was sent: true").

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -94,7 +94,10 @@
 // Begin asks for leave to send. It is true once at most: not after the request's final
 // answer, nor Options.DrainGrace after word that the server drains, nor where Request.May or Request.Left say
 // so, nor for a keyed request where the window is over in which servers drop its repeats.
-func (c *Call) Begin() bool {
+func (c *Call) Begin() bool { return c.begin(0) }
+
+// begin is Begin for a send that is out at by, on the Clock, at the latest; 0: at once.
+func (c *Call) begin(by time.Duration) bool {
 	if c.server == nil { // of NewCall
 		return c.gate.CompareAndSwap(unsent, begun)
 	}
@@ -103,7 +106,7 @@
 		c.Revoke()
 	}
 	if c.window != nil {
-		if !c.window.begin(c, now) {
+		if !c.window.begin(c, now, max(now, by)) {
 			return false
 		}
 	} else if !c.gate.CompareAndSwap(unsent, begun) {
@@ -115,13 +118,14 @@
 	return true
 }
 
-// BeginUndrained is Begin for a send that somebody else is told to begin: it is false as soon as
-// word of the server's drain has come, so that all of the grace is theirs.
-func (c *Call) BeginUndrained() bool {
+// BeginUndrained is Begin for a send that somebody else is told to begin, by a time on the Clock at the latest:
+// it is false as soon as word of the server's drain has come, so that all of the grace is theirs, and for a repeat
+// whose window ends before that time.
+func (c *Call) BeginUndrained(by time.Duration) bool {
 	if c.server != nil && c.server.told.Load() != 0 {
 		c.Revoke()
 	}
-	return c.Begin()
+	return c.begin(by)
 }
 
 // Revoke bars a call from being sent if that has not begun.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -178,7 +178,7 @@
 		c := start(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
 			waiting <- struct{}{}
 			<-told
-			began <- call.BeginUndrained()
+			began <- call.BeginUndrained(0)
 			return Result{Status: policy.Moot, Final: true}
 		}), 1)
 		go c.Do(t.Context(), c.request(2, testkit.Patience))
--- a/internal/engine/window.go
+++ b/internal/engine/window.go
@@ -21,12 +21,13 @@
 	at   time.Duration // on the Clock, right before its first byte
 }
 
-// begin is Call.Begin's last step: false where the window of an earlier send is over.
-func (w *window) begin(c *Call, now time.Duration) bool {
+// begin is Call.Begin's last step: false where the window of an earlier send is over by the time at which
+// this one is out at the latest.
+func (w *window) begin(c *Call, now, by time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, earlier := range w.sent {
-		if now-earlier.at >= w.span {
+		if by-earlier.at >= w.span {
 			c.Revoke()
 		}
 	}
--- a/internal/engine/window_test.go
+++ b/internal/engine/window_test.go
@@ -44,24 +44,48 @@
 	}
 }
 
+// One that somebody else is to send, some time until its request's end, is no repeat within the window where
+// that ends sooner.
+func TestRepeatThatIsSentByOthers(t *testing.T) {
+	window := settings().Classes[1].Window
+	for left, sent := range map[time.Duration]bool{window / 2: true, 2 * window: false} {
+		var number atomic.Int32
+		attempts := make(chan bool, 4)
+		c := start(t, exchange(func(call *Call, _ policy.ServerID, _ any, _ time.Duration) Result {
+			attempts <- call.BeginUndrained(call.clock.Now() + left)
+			if number.Add(1) == 1 {
+				return Result{Status: policy.Reset}
+			}
+			return Result{Status: policy.Error}
+		}), 1, 2)
+		go c.Do(t.Context(), c.request(1, testkit.Patience))
+		if !testkit.Wait(t, attempts, "the first attempt") {
+			t.Fatal("the first attempt was not sent")
+		}
+		if got := testkit.Wait(t, attempts, "the second attempt"); got != sent {
+			t.Errorf("with %v for it the second attempt was sent: %v", left, got)
+		}
+	}
+}
+
 // Of two copies that are out, the one that was decided first may be the last to get its connection.
 func TestWindowBeginsWithWhatIsSentFirst(t *testing.T) {
 	w := &window{span: time.Second}
 	first, copied, third := &Call{}, &Call{}, &Call{}
-	if !w.begin(copied, time.Minute) {
+	if !w.begin(copied, time.Minute, time.Minute) {
 		t.Error("the copy was not sent")
 	}
-	if w.begin(first, time.Minute+w.span) {
+	if w.begin(first, time.Minute+w.span, time.Minute+w.span) {
 		t.Error("sent when the copy's window was over")
 	}
 	if first.gate.Load() != revoked {
 		t.Error("what is barred counts as one that may run")
 	}
 	w.neverRan(copied)
-	if !w.begin(third, time.Minute+w.span) {
+	if !w.begin(third, time.Minute+w.span, time.Minute+w.span) {
 		t.Error("barred by one that never ran")
 	}
-	if w.begin(third, time.Minute+w.span) {
+	if w.begin(third, time.Minute+w.span, time.Minute+w.span) {
 		t.Error("sent twice")
 	}
 }
--- a/internal/extproc/pick.go
+++ b/internal/extproc/pick.go
@@ -224,7 +224,7 @@
 			if left <= 0 {
 				o.call.Revoke()
 			}
-			if !o.call.BeginUndrained() {
+			if !o.call.BeginUndrained(x.end) { // the caller sends it some time until then
 				a.mu.Unlock()
 				o.outcome <- policy.Moot
 				continue
