Play the splits that operators name, and an hour of changes, in virtual time

They were only met by chance among drawn faults.

Change: TestNamedSplits, TestMemoryOverAnHourOfChanges on the same pure code.

--- /dev/null
+++ b/internal/fleet/agree/splits_test.go
@@ -0,0 +1,125 @@
+package agree
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"testing/cryptotest"
+	"time"
+)
+
+// The splits that operators name, each while versions that contradict each other are published: no two nodes act on rules that
+// contradict, one history is left, and all are on its last version once the split is over.
+func TestNamedSplits(t *testing.T) {
+	const length = 12 * time.Second
+	leader := func(s *fleetSim) *simNode {
+		for _, id := range s.voters {
+			if v := s.nodes[id-1].voter; v.Leader() == v.ID {
+				return s.nodes[id-1]
+			}
+		}
+		return s.nodes[0]
+	}
+	cut := func(s *fleetSim, n *simNode, from, to time.Duration) {
+		s.at(from, func() { n.cutUntil = s.now + to - from })
+	}
+	for name, split := range map[string]struct {
+		voters int
+		begin  func(s *fleetSim) // for length from now on
+	}{
+		"half and half of four": {4, func(s *fleetSim) {
+			for _, n := range s.nodes[:2] {
+				cut(s, n, 0, length) // the other two have no majority either
+			}
+		}},
+		"the old leader in a minority": {5, func(s *fleetSim) { cut(s, leader(s), 0, length) }},
+		"a link that flaps every 200 ms": {3, func(s *fleetSim) {
+			for at := time.Duration(0); at < length; at += 400 * time.Millisecond {
+				cut(s, leader(s), at, at+200*time.Millisecond)
+			}
+		}},
+		"the leader hears nobody": {3, func(s *fleetSim) { leader(s).deafUntil = s.now + length }},
+		"each voter alone in turn": {3, func(s *fleetSim) {
+			for i, id := range s.voters {
+				from := time.Duration(i) * length / 3
+				cut(s, s.nodes[id-1], from, from+length/3)
+			}
+		}},
+		"healed while a version is taken": {5, func(s *fleetSim) {
+			for _, n := range s.nodes[:2] {
+				cut(s, n, 0, length/2)
+			}
+			s.at(length/2-50*time.Millisecond, func() { s.publish("at the heal", true) })
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seeds := uint64(15)
+			if testing.Short() || raced {
+				seeds = 4
+			}
+			versions := 0
+			for seed := range seeds {
+				cryptotest.SetGlobalRandom(t, seed)
+				s := newSim(t, seed, split.voters, 3, nothing)
+				s.run(3 * time.Second)
+				s.publish("first", false)
+				s.run(s.now + time.Second)
+				split.begin(s)
+				for i, end := 0, s.now+length; s.now < end; i++ {
+					s.publish(fmt.Sprint("v", i), i%2 == 0)
+					s.run(s.now + 300*time.Millisecond)
+				}
+				s.run(s.now + 8*time.Second)
+				s.healed()
+				if len(s.broken) > 0 {
+					t.Fatalf("seed %d: %d findings, first: %s", seed, len(s.broken), s.broken[0])
+				}
+				versions += s.versions
+			}
+			if versions < int(seeds) {
+				t.Errorf("%d versions in %d seeds: too few to say anything", versions, seeds)
+			}
+			t.Logf("%d versions", versions)
+		})
+	}
+}
+
+// An hour of changes, two a second: what voters and nodes keep does not grow with them.
+func TestMemoryOverAnHourOfChanges(t *testing.T) {
+	if testing.Short() || raced {
+		t.Skip("played without the race detector")
+	}
+	cryptotest.SetGlobalRandom(t, 39)
+	s := newSim(t, 39, 3, 2, nothing)
+	s.run(3 * time.Second)
+	kept := func() (entries int, heap uint64) {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		for _, n := range s.nodes {
+			entries += len(n.disk.Entries)
+		}
+		return entries, m.HeapAlloc
+	}
+	changes := func(from, to int) {
+		for i := from; i < to; i++ {
+			s.publish(fmt.Sprint("c", i), false)
+			s.run(s.now + 500*time.Millisecond)
+			delete(s.acked, fmt.Sprint("c", i-1000)) // the test's own books
+		}
+	}
+	changes(0, 1800) // a quarter of an hour: all bounds are met
+	clear(s.pendingAt)
+	entries, before := kept()
+	changes(1800, 7200)
+	clear(s.pendingAt)
+	now, after := kept()
+	state := s.nodes[0].voter.State()
+	if state.Last < 6000 || len(state.History) > MaxHistory {
+		t.Fatalf("%d versions, %d in the history", state.Last, len(state.History))
+	}
+	if now > entries+3*(compactEvery+compactKeep) || after > before+before/4 {
+		t.Errorf("%d entries and %d KiB after a quarter of an hour, %d and %d KiB after the hour", entries, before>>10, now, after>>10)
+	}
+	t.Logf("%d versions: %d entries and %d KiB after a quarter of an hour, %d and %d KiB after the hour", state.Last, entries, before>>10, now, after>>10)
+}
