--- a/internal/cli/versions.go
+++ b/internal/cli/versions.go
@@ -79,8 +79,8 @@
 		}
 		return o.Times[int(share*float64(len(o.Times)-1))].Round(time.Millisecond)
 	}
-	fmt.Fprintf(out, "seed %d: %d versions, in force after %v (half) %v (99 %%); contradiction %v of %v (%d attempts); %d owners, none for %v at most; %d asked, %d served, %d refused, %d failed\n",
-		v.Seed, o.Published, at(0.5), at(0.99), o.Longest.Round(time.Millisecond), o.Bound.Round(time.Millisecond), o.Count, o.Owners, o.NoOwner.Round(time.Millisecond), o.Asked, o.Served, o.Refused, o.Failed)
+	fmt.Fprintf(out, "seed %d: %d versions, in force after %v (half) %v (99 %%); contradiction %v of %v (%d attempts); %d owners, none for %v at most (%d answers in one order); %d asked, %d served, %d refused, %d failed\n",
+		v.Seed, o.Published, at(0.5), at(0.99), o.Longest.Round(time.Millisecond), o.Bound.Round(time.Millisecond), o.Count, o.Owners, o.NoOwner.Round(time.Millisecond), o.Answers, o.Asked, o.Served, o.Refused, o.Failed)
 	if held = o.Longest <= o.Bound && len(o.Found) == 0; !held {
 		fmt.Fprintln(out, "NOT HELD:", o.Found, o.Worst)
 		for _, f := range o.Script {
--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -8,12 +8,16 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"testing/cryptotest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"yokestall/internal/standin/fleet"
 )
 
 // A whole fleet in one thread, in virtual time: voters, followers, publishers, clocks that are fast or slow, a network that
@@ -65,6 +69,8 @@
 	tokens    map[string]uint64 // by work: the highest that an owner acted by
 	applied   uint64            // the last entry that any voter has applied
 	reads     int               // that were answered
+	asking    *rand.Rand        // draws of probe alone
+	answers   []fleet.Event     // of owners of w0, by probe
 }
 
 type simNode struct {
@@ -110,7 +116,7 @@
 var simTerms = Terms{Lease: 1500 * time.Millisecond, Drift: 0.1, Take: 100 * time.Millisecond}
 
 func newSim(t testing.TB, seed uint64, voters, followers int, out without) *fleetSim {
-	s := &fleetSim{t: t, rng: rand.New(rand.NewPCG(seed, 39)), out: out, terms: simTerms, acked: map[string]uint64{}, epochs: map[uint64]uint64{}, pendingAt: map[uint64]time.Duration{}, tokens: map[string]uint64{}}
+	s := &fleetSim{t: t, rng: rand.New(rand.NewPCG(seed, 39)), out: out, terms: simTerms, acked: map[string]uint64{}, epochs: map[uint64]uint64{}, pendingAt: map[uint64]time.Duration{}, tokens: map[string]uint64{}, asking: rand.New(rand.NewPCG(seed, 40))}
 	if out == drift {
 		s.terms.Drift = 0
 	}
@@ -200,10 +206,24 @@
 		if s.rng.IntN(10) == 0 {
 			n.reads[n.voter.Read()] = s.applied
 		}
+		s.probe(n)
 		s.ticks(n)
 	})
 }
 
+// probe has somebody ask a voter now and then whether it owns a work, over a network that takes its time.
+func (s *fleetSim) probe(n *simNode) {
+	if s.asking.IntN(5) > 0 {
+		return
+	}
+	asked, way := s.now, func() time.Duration { return time.Duration(s.asking.Int64N(int64(200 * time.Millisecond))) }
+	s.on(n, way(), func() {
+		if token, owns := s.owns(n)["w0"]; owns {
+			s.answers = append(s.answers, fleet.Event{What: fleet.Owned, Who: int(n.id), Stamp: int(token), By: asked, At: s.now + way()})
+		}
+	})
+}
+
 // read holds what a voter says is all of the log against what had been applied when it was asked.
 func (s *fleetSim) read(n *simNode) {
 	for id, upto := range n.reads {
@@ -625,3 +645,35 @@
 		})
 	}
 }
+
+// What owners answered, each asked and heard over a network that takes its time, has one order in which each owner follows the one before it
+// by a higher token; with the owner's look at its lease taken out it has none. The checker knows nothing of the program.
+func TestOwnersHaveOneOrder(t *testing.T) {
+	if raced {
+		t.Skip("played without the race detector")
+	}
+	seeds, answers := uint64(40), 0
+	for seed := range seeds {
+		cryptotest.SetGlobalRandom(t, seed)
+		n, found := fleet.CheckOwners(play(t, seed, 3+2*int(seed%3), int(seed%5), nothing).answers)
+		if len(found) > 0 {
+			t.Fatalf("seed %d: %v", seed, found)
+		}
+		answers += n
+	}
+	if answers < 100*int(seeds) {
+		t.Errorf("%d answers: too few to say anything", answers)
+	}
+	t.Logf("%d answers over %d seeds", answers, seeds)
+	for seed := range uint64(400) {
+		cryptotest.SetGlobalRandom(t, seed)
+		if _, found := fleet.CheckOwners(play(t, seed, 3+2*int(seed%3), int(seed%5), ownLease).answers); len(found) > 0 {
+			if !strings.Contains(found[0].Rule, string(porcupine.Illegal)) {
+				t.Fatalf("seed %d: %v", seed, found[0])
+			}
+			t.Logf("with the look taken out, seed %d: %v", seed, found[0])
+			return
+		}
+	}
+	t.Error("not found in 400 seeds with the look taken out")
+}
--- a/internal/lab/versions.go
+++ b/internal/lab/versions.go
@@ -53,6 +53,7 @@
 	Failed int
 	fleet.Contradiction
 	Owners  int           // of the releases, one after the other
+	Answers int           // of owners, which one order explains unless Found says otherwise
 	NoOwner time.Duration // longest time from the last word of one to the first of the next
 	Found   []fleet.Finding
 }
@@ -497,7 +498,9 @@
 	events := r.rig.Record.Events()
 	var owners []fleet.Finding
 	o.Owners, o.NoOwner, owners = fleet.JudgeOwners(events)
-	defer func() { o.Found = append(o.Found, owners...) }()
+	var disorder []fleet.Finding
+	o.Answers, disorder = fleet.CheckOwners(events)
+	defer func() { o.Found = append(append(o.Found, owners...), disorder...) }()
 	o.Contradiction, o.Found = fleet.JudgeVersions(events, fleet.VersionRules{
 		Safe: []bool{true, false, false}, Unsafe: []bool{false, false, true}, Out: r.isOut, Grace: 500 * time.Millisecond, Slack: versionSlack,
 	})
