Close no connection whose request has just been read

A connection is closed for its rest, at a stop or where places are scarce, if its socket shows nothing; but net/http's goroutine may have taken a request from the socket and not come to the table yet. The request had been read, its connection ended, and it got no answer.

Change: bytes are taken from the socket and marked in one step under the connection's lock (syscall.RawConn); whoever closes asks for the mark, and then has nothing be read any more: what comes behind finds the connection closed, unread.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"yokestall/internal/conntable"
-	"yokestall/internal/httpup"
 	"yokestall/internal/maint"
 )
 
@@ -125,7 +124,7 @@
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err, socket := c.take(p)
 	if socket {
-		n, err = c.Conn.Read(p)
+		n, err = c.readSocket(p)
 		c.gave(err)
 	}
 	if n == 0 {
@@ -135,7 +134,9 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	c.seen.feed(p[:n])
-	if !cs.spoke(c) {
+	open := cs.spoke(c)
+	c.noted()
+	if !open {
 		return 0, net.ErrClosed
 	}
 	if c.seen.whole() {
@@ -215,7 +216,7 @@
 		if victim == nil {
 			return
 		}
-		if c := victim.Owner.(*clientConn); httpup.Quiet(c.Conn) {
+		if c := victim.Owner.(*clientConn); c.rests() {
 			cs.close(c)
 		} else {
 			cs.table.Delay(now, victim) // what has come meanwhile would be lost on its way
@@ -297,6 +298,7 @@
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
+	c.read = c.readNow
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for {
@@ -306,7 +308,7 @@
 			c.entry = entry
 			return c
 		case victim != nil:
-			if v := victim.Owner.(*clientConn); httpup.Quiet(v.Conn) {
+			if v := victim.Owner.(*clientConn); v.rests() {
 				cs.close(v)
 			} else {
 				cs.spoke(v) // this node was too busy to listen
@@ -364,7 +366,7 @@
 		if e == nil {
 			return
 		}
-		if c := e.Owner.(*clientConn); httpup.Quiet(c.Conn) {
+		if c := e.Owner.(*clientConn); c.rests() {
 			cs.close(c)
 		} else {
 			cs.spoke(c)
--- a/internal/httpfront/clients_test.go
+++ b/internal/httpfront/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -215,6 +216,69 @@
 	}
 }
 
+// A request that this process has just read from its socket, and whose connection is closed for its rest before the table
+// was told, gets its answer: the socket shows nothing any more, and its client has no way to know that it was not taken.
+func TestReadAndClosedAtOneInstant(t *testing.T) {
+	t.Parallel()
+	for name, close := range map[string]func(cs *clientConns){
+		"a stop":          func(cs *clientConns) { cs.restEnds(0, never) },
+		"the last moment": func(cs *clientConns) { cs.restEnds(0, 0) },
+	} {
+		for _, again := range []bool{false, true} { // a first request, or a further one
+			t.Run(fmt.Sprint(name, ", again ", again), func(t *testing.T) {
+				t.Parallel()
+				f := New(&counter{}, Options{Clock: engine.NewClock(), Places: conntable.Limits{Asked: 4, Silent: 4}, Log: testkit.Log(t), Strict: true})
+				nc, err := net.Dial("tcp", serve(t, f))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer nc.Close()
+				nc.SetDeadline(time.Now().Add(testkit.Patience))
+				in := bufio.NewReader(nc)
+				ask := func(id string) {
+					fmt.Fprintf(nc, "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: %s\r\nX-Timeout-Ms: 5000\r\n\r\n", id)
+				}
+				answered := func() error {
+					resp, err := http.ReadResponse(in, nil)
+					if err == nil {
+						resp.Body.Close()
+					}
+					return err
+				}
+				cs := f.conns
+				var c *clientConn
+				find := func() bool {
+					cs.mu.Lock()
+					defer cs.mu.Unlock()
+					if e := cs.table.Resting(never, 0, 0); e != nil {
+						c = e.Owner.(*clientConn)
+					}
+					return c != nil
+				}
+				if again {
+					ask("first")
+					if err := answered(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				testkit.Until(t, "the connection to rest", find)
+				cs.mu.Lock() // nobody can tell the table
+				ask("second")
+				testkit.Until(t, "the request to be read", func() bool {
+					c.side.Lock()
+					defer c.side.Unlock()
+					return c.came
+				})
+				close(cs)
+				cs.mu.Unlock()
+				if err := answered(); err != nil {
+					t.Errorf("a request that was read got no answer: %v", err)
+				}
+			})
+		}
+	}
+}
+
 // A request that was read to its end is not thrown out for being slow to come, however late this
 // process gets to its handler; one that has not come to its end is.
 func TestReadRequestKeepsItsPlace(t *testing.T) {
--- a/internal/httpfront/leaving.go
+++ b/internal/httpfront/leaving.go
@@ -4,9 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"os"
 	"syscall"
 	"time"
 	"unsafe"
+
+	"yokestall/internal/httpup"
 )
 
 const (
@@ -37,6 +41,14 @@
 	ended bool   // the client's end lies behind ahead
 	alone bool   // nothing may come behind the request that is open: what does not fit ahead is dropped
 	gap   bool   // something was: nothing comes behind ahead any more
+
+	came bool // bytes were read that the table has not been told of yet
+	shut bool // the connection is to be closed: nothing is read from it any more
+	// The Read that is under way: where to, and what came of it.
+	into []byte
+	got  int
+	fail error
+	read func(fd uintptr) bool // readNow
 }
 
 // take gives what was read ahead; where that is nothing and the end is not known the caller may read
@@ -50,6 +62,7 @@
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 			c.ahead = nil
 		}
+		c.came = true
 		return n, nil, false
 	}
 	if c.ended || c.gap {
@@ -59,6 +72,70 @@
 	return 0, nil, true
 }
 
+// readSocket reads the socket. To take bytes from it and to say so is one step: whoever closes a connection
+// because nothing has come over it must not do so in between, or a request that was read would get no answer.
+func (c *clientConn) readSocket(p []byte) (int, error) {
+	if c.raw == nil || len(p) == 0 {
+		return c.Conn.Read(p)
+	}
+	c.side.Lock()
+	c.into = p
+	c.side.Unlock()
+	if err := c.raw.Read(c.read); err != nil { // its time is over, or it was closed
+		var op *net.OpError
+		if errors.As(err, &op) {
+			op.Op = "read"
+		}
+		return 0, err
+	}
+	return c.got, c.fail
+}
+
+// readNow takes what there is; false if there is nothing yet (syscall.RawConn).
+func (c *clientConn) readNow(fd uintptr) bool {
+	c.side.Lock()
+	defer c.side.Unlock()
+	c.got, c.fail = 0, nil
+	if c.shut {
+		c.fail = net.ErrClosed
+		return true
+	}
+	n, err := syscall.Read(int(fd), c.into)
+	for errors.Is(err, syscall.EINTR) {
+		n, err = syscall.Read(int(fd), c.into)
+	}
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return false
+	case err != nil:
+		c.fail = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0:
+		c.fail = io.EOF
+	default:
+		c.got, c.came = n, true
+	}
+	return true
+}
+
+// noted says that the table was told of what has come.
+func (c *clientConn) noted() {
+	c.side.Lock()
+	defer c.side.Unlock()
+	c.came = false
+}
+
+// rests tells whether nothing has come over the connection, no byte and no end, that the table was not told of. If so nothing
+// is read from it any more: what comes now finds it closed, unread, and its client asks again elsewhere.
+func (c *clientConn) rests() bool {
+	c.side.Lock()
+	defer c.side.Unlock()
+	if c.came || len(c.ahead) > 0 || !httpup.Quiet(c.Conn) {
+		return false
+	}
+	c.shut = true
+	return true
+}
+
 // gave ends a Read of the socket.
 func (c *clientConn) gave(err error) {
 	c.side.Lock()
