--- /dev/null
+++ b/review/rig/format.go
@@ -0,0 +1,5 @@
+package rig
+
+import "strconv"
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
