Reuse HTTP/1.1 connections 20 ms after an answer in every pool

Cause: an HTTP/1.1 answer names no request. h1client used a connection again 1 ms after an answer; a second copy of that answer, some milliseconds late, arrived while the next request was out and was taken for its answer, and every later answer on the connection was shifted by one. The platform's node waited 20 ms by an option whose default was the unsafe value; serve did not set it.

Change: the delay is a constant of the client, so no pool can have less. Connections within the delay do not count against the limit of idle ones, and at the limit of all connections an attempt waits for the one whose delay ends first; else a busy pool would open a connection for each request. serve waits for the delay only where the last exchange took ten times as long, the ratio it had; the node keeps 2.

TestReuseDelayAtHighRates is new. TestIdleConnectionsAreAShare sets the delay to 0, since the limit now counts only connections whose delay is over; its figures are as before, and the new test holds the limit with the delay.

--- /dev/null
+++ b/internal/app/lateduplicates_test.go
@@ -0,0 +1,78 @@
+package app
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yokestall/internal/config"
+	"yokestall/internal/fake/webpeer"
+	"yokestall/internal/testutil"
+	"yokestall/internal/upstream/h1client"
+)
+
+const (
+	// duplicateDelay is the time from an answer to its second copy.
+	duplicateDelay = 5 * time.Millisecond
+	// maxDuplicateDelay is the time after which a server that was held up closes the connection instead of sending the
+	// second copy, because a copy that comes after h1client.ReuseDelay can't be recognised.
+	maxDuplicateDelay = h1client.ReuseDelay / 2
+)
+
+// Guards against answers that reach the clients of other requests (docs/incidents/0001): a connection was used again 1 ms
+// after an answer, and a second copy of that answer, which came milliseconds later, was taken for the next one.
+func TestLateDuplicateAnswers(t *testing.T) {
+	for name, downstream := range map[string]webpeer.Protocol{"http1": {}, "http2": {HTTP2: true}} {
+		t.Run(name, func(t *testing.T) {
+			var duplicates atomic.Int64
+			addr := testutil.Accept(t, func(nc net.Conn) { duplicateAnswers(nc, &duplicates) })
+			listener := config.Listener{HTTP2: 128}
+			c := newCellWithServers(t, downstream, webpeer.Protocol{}, nil, nil, listener, addr)
+			const lanes, requests = 8, 50 // number of concurrent clients, and of requests of each
+			var run sync.WaitGroup
+			for lane := range lanes {
+				run.Go(func() {
+					for n := range requests {
+						id := fmt.Sprintf("r%d-%d", lane, n)
+						resp, text, err := c.exchange("GET", "/x", "", nil, 0, "X-Request-Id", id)
+						if err != nil || resp.StatusCode != http.StatusOK || string(text) != id {
+							t.Errorf("request %s: answer %v, body %q, error %v; want status 200 and its id", id, resp, text, err)
+						}
+					}
+				})
+			}
+			run.Wait()
+			if duplicates.Load() == 0 {
+				t.Error("no second copy of an answer was sent")
+			}
+		})
+	}
+}
+
+// duplicateAnswers serves a connection. It answers each request with the request's id, and sends a second copy of the
+// answer duplicateDelay later, as a server does that is so far away that it has not received the next request by then.
+func duplicateAnswers(nc net.Conn, duplicates *atomic.Int64) {
+	in := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("X-Request-Id")
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		began := time.Now()
+		io.WriteString(nc, answer)
+		time.Sleep(duplicateDelay)
+		if time.Since(began) > maxDuplicateDelay {
+			return
+		}
+		io.WriteString(nc, answer)
+		duplicates.Add(1)
+	}
+}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -14,10 +14,9 @@
 	maxBodyBytes = 64 << 20
 	// streamStallTimeout is how long a streamed response may make no progress, on the upstream or the downstream side.
 	streamStallTimeout = 5 * time.Second
-	// unsolicitedResponsePeriod is how long after a response a connection is not reused. By the platform's protocol an
-	// endpoint may send an unsolicited response some milliseconds after a response; since a response does not name its
-	// request, the node would take it for the response to the next request on that connection.
-	unsolicitedResponsePeriod = 20 * time.Millisecond
+	// reuseWaitFactor is the ratio of an exchange's duration to h1client.ReuseDelay from which the node waits to reuse the
+	// connection. It is low because the platform charges for new connections.
+	reuseWaitFactor = 2
 	// drainSendGraceDivisor sets the part of the drain grace that is left for sends decided before the node learns of the
 	// drain: the drain grace divided by this number, a fifth. Learning of the drain may take three quarters
 	// (discovery.PushedTiming). The remaining twentieth is the margin for processing the update and for the transmission
@@ -53,7 +52,7 @@
 		ConnectTimeout:      n.cfg.ConnectTimeout,
 		MaxConnections:      upstream,
 		StreamLargeBodies:   true,
-		ReuseDelay:          unsolicitedResponsePeriod,
+		ReuseWaitFactor:     reuseWaitFactor,
 		NodeCount:           n.cfg.Policy.NodeCount,
 		Prices:              n.cfg.IdlePrices,
 	})
--- a/internal/node/attempts_test.go
+++ b/internal/node/attempts_test.go
@@ -11,6 +11,7 @@
 
 	"yokestall/internal/discovery"
 	"yokestall/internal/testutil"
+	"yokestall/internal/upstream/h1client"
 )
 
 // backendsFailingFirst returns two servers. Whichever of them gets the first request handles it with fail.
@@ -186,12 +187,12 @@
 		defer mu.Unlock()
 		if at, again := answered[r.RemoteAddr]; again {
 			reused++
-			if gap := now.Sub(at); gap < unsolicitedResponsePeriod {
-				t.Errorf("a connection is reused %v after a response, which is before unsolicitedResponsePeriod is over", gap)
+			if gap := now.Sub(at); gap < h1client.ReuseDelay {
+				t.Errorf("a connection is reused %v after a response, which is before h1client.ReuseDelay is over", gap)
 			}
 		}
 		if r.URL.Path == "/read" {
-			time.Sleep(slowExchangeFactor * unsolicitedResponsePeriod) // so slow that the node waits to reuse the connection
+			time.Sleep(slowExchangeFactor * h1client.ReuseDelay) // so slow that the node waits to reuse the connection
 		}
 		answered[r.RemoteAddr] = time.Now()
 		testutil.OK(w, r)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -94,6 +94,6 @@
 	}
 }
 
-// slowExchangeFactor is the duration of an exchange, in multiples of unsolicitedResponsePeriod, after which the node waits to
+// slowExchangeFactor is the duration of an exchange, in multiples of h1client.ReuseDelay, after which the node waits to
 // reuse the connection instead of opening another one.
 const slowExchangeFactor = 3
--- a/internal/upstream/h1client/dial.go
+++ b/internal/upstream/h1client/dial.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"fmt"
 	"net"
-	"time"
 
 	"yokestall/internal/engine"
 	"yokestall/policy"
@@ -16,7 +15,7 @@
 	c, e, status := p.acquire(id)
 	if c != nil || status != policy.OK {
 		if c != nil {
-			time.Sleep(p.reuseDelay - time.Since(c.idleSince)) // waits for the rest of reuseDelay; see takeIdle
+			p.awaitReuseDelay(c)
 		}
 		return c, status
 	}
--- a/internal/upstream/h1client/idleconns.go
+++ b/internal/upstream/h1client/idleconns.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"slices"
+	"sort"
 	"time"
 
 	"yokestall/internal/keepalive"
@@ -18,14 +19,12 @@
 	// less than 1 so that the pool closes the connection before the endpoint does: a request that is written while the
 	// endpoint closes the connection must be treated as one that may have run.
 	IdleTimeoutFraction = 0.6
-	// defaultReuseDelay is the default of Options.ReuseDelay. With a longer delay, connections would be idle for longer,
-	// and more of them would be reset at their next request.
-	defaultReuseDelay = time.Millisecond
-	// minReuseWaitThreshold is the minimum and the default of Pool.reuseWaitThreshold. An endpoint that answers faster
-	// than the threshold would have its latency increased noticeably by the wait for ReuseDelay.
-	minReuseWaitThreshold = 10 * defaultReuseDelay
-	// reuseWaitFactor is the ratio of Pool.reuseWaitThreshold to an Options.ReuseDelay that is set.
-	reuseWaitFactor = 2
+	// ReuseDelay is the minimum time from an answer to the next request on its connection. An endpoint may send a second
+	// copy of an answer, or other excess bytes, some milliseconds after the answer. Nothing in an answer identifies its
+	// request, so that the excess bytes would be taken for the answer to a request that was written before they arrived.
+	ReuseDelay = 20 * time.Millisecond
+	// defaultReuseWaitFactor is the default of Options.ReuseWaitFactor.
+	defaultReuseWaitFactor = 10
 	// maxIdleRequestBufferBytes is the maximum size of the request buffer that an idle connection retains.
 	maxIdleRequestBufferBytes = 4 << 10
 	// evictionsPerIdleTime is how many times per Pool.maxIdleTime EvictIdle closes connections.
@@ -46,23 +45,33 @@
 		case <-ticker.C:
 		}
 		p.mu.Lock()
-		p.updateIdleLimits(time.Now())
+		now := time.Now()
+		p.updateIdleLimits(now)
 		for _, e := range p.endpoints {
-			p.evictExpired(e)
+			p.evictExpired(e, now)
 		}
 		p.mu.Unlock()
 	}
 }
 
-// evictExpired closes the endpoint's idle connections that exceed idleTimeout or maxIdlePerEndpoint, those that have been
-// idle for longest first. p.mu must be locked.
-func (p *Pool) evictExpired(e *endpoint) {
-	n := 0
-	for n < len(e.idle) && (time.Since(e.idle[n].idleSince) > p.idleTimeout || len(e.idle)-n > p.maxIdlePerEndpoint) {
-		p.closeConn(e.idle[n])
+// evictExpired closes the endpoint's idle connections that exceed idleTimeout or, of those whose reuse delay is over, that
+// exceed maxIdlePerEndpoint; those that have been idle for longest first. p.mu must be locked.
+func (p *Pool) evictExpired(e *endpoint, now time.Time) {
+	reusable := p.reusableCount(e, now)
+	n := max(0, reusable-p.maxIdlePerEndpoint)
+	for n < len(e.idle) && now.Sub(e.idle[n].idleSince) > p.idleTimeout {
 		n++
 	}
-	e.idle = append(e.idle[:0], e.idle[n:]...)
+	for _, c := range e.idle[:n] {
+		p.closeConn(c)
+	}
+	e.idle = slices.Delete(e.idle, 0, n)
+}
+
+// reusableCount returns the number of the endpoint's idle connections whose reuse delay is over. They are the first ones
+// of e.idle. p.mu must be locked.
+func (p *Pool) reusableCount(e *endpoint, now time.Time) int {
+	return sort.Search(len(e.idle), func(i int) bool { return now.Sub(e.idle[i].idleSince) < p.reuseDelay })
 }
 
 // updateIdleLimits computes maxIdlePerEndpoint and idleTimeout from this node's use of the endpoints since limitsUpdatedAt.
@@ -81,10 +90,10 @@
 	p.idleTimeout = keepalive.IdleTimeout(f, p.prices, p.maxIdleTime)
 }
 
-// acquire returns an idle connection to the endpoint. If there is none, it returns a nil conn, the endpoint and policy.OK,
-// and the caller may open a connection, which is counted already. At maxConnections, acquire first closes the connection
-// that has been idle for longest. The status is policy.ConnectFailed if the endpoint is unknown, and policy.NeverSent if
-// maxConnections is reached and no connection is idle.
+// acquire returns an idle connection to the endpoint, for which the caller waits with awaitReuseDelay. If there is none,
+// it returns a nil conn, the endpoint and policy.OK, and the caller may open a connection, which is counted already. At
+// maxConnections, acquire first closes the connection that has been idle for longest. The status is policy.ConnectFailed
+// if the endpoint is unknown, and policy.NeverSent if maxConnections is reached and no connection is idle.
 func (p *Pool) acquire(id policy.EndpointID) (*conn, *endpoint, policy.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,79 +101,115 @@
 	if e == nil {
 		return nil, nil, policy.ConnectFailed
 	}
-	if c := p.takeIdle(e); c != nil {
+	now := time.Now()
+	full := p.connections >= p.maxConnections
+	c := p.takeReusable(e, now)
+	if c == nil && (p.worthWaiting(e) || full && p.noneReusable(now)) {
+		c = takeOldest(e)
+	}
+	if c != nil {
+		c.exchangeStart = now
 		return c, e, policy.OK
 	}
-	if p.connections >= p.maxConnections && !p.evictOldest() {
+	if full && !p.evictOldest() {
 		return nil, nil, policy.NeverSent // the endpoint is not to blame
 	}
 	p.connections++
 	return nil, e, policy.OK
 }
 
-// takeIdle removes and returns the most recently used idle connection that may be used again, or nil if there is none. p.mu
-// must be locked.
-//
-// An endpoint may close a connection after its answer, or send more bytes than belong to the answer, and either becomes
-// visible only after a moment. A request that is written before then is lost, or gets the excess bytes as its answer,
-// because nothing in an answer identifies its request. Therefore takeIdle passes over a connection that has been idle for
-// less than reuseDelay, with one exception: it returns the connection, and the caller waits for the rest of the delay, if
-// there is no older usable one and the last exchange took at least reuseWaitThreshold. In that case the wait is short
-// compared with the endpoint's latency. Without the exception, requests that wait for an endpoint, and thus follow its last
-// answer at once, would open a new connection each time, which costs both sides a handshake.
-func (p *Pool) takeIdle(e *endpoint) *conn {
-	for n := len(e.idle) - 1; n >= 0; n-- {
-		c := e.idle[n]
-		idleTime := time.Since(c.idleSince)
-		if idleTime < p.reuseDelay {
-			olderUsable := n > 0 && time.Since(e.idle[n-1].idleSince) <= p.maxIdleTime
-			if c.exchangeTime < p.reuseWaitThreshold || olderUsable {
-				continue
-			}
-		}
-		e.idle = slices.Delete(e.idle, n, n+1)
-		c.exchangeStart = time.Now()
-		if idleTime <= p.maxIdleTime {
-			return c
+// takeReusable removes and returns the most recently used idle connection whose reuse delay is over, or nil if there is
+// none. It closes connections that have been idle for longer than maxIdleTime. p.mu must be locked.
+func (p *Pool) takeReusable(e *endpoint, now time.Time) *conn {
+	n := p.reusableCount(e, now)
+	if n == 0 {
+		return nil
+	}
+	c := e.idle[n-1]
+	if now.Sub(c.idleSince) > p.maxIdleTime { // so have the ones before it
+		for _, expired := range e.idle[:n] {
+			p.closeConn(expired)
 		}
-		p.closeConn(c)
+		e.idle = slices.Delete(e.idle, 0, n)
+		return nil
+	}
+	e.idle = slices.Delete(e.idle, n-1, n)
+	return c
+}
+
+// worthWaiting reports whether an attempt waits for the rest of the reuse delay of the endpoint's oldest idle connection
+// rather than open another connection. It waits if the connection's last exchange took at least reuseWaitThreshold, so
+// that the wait is short compared with the endpoint's latency. Otherwise requests that wait for an endpoint, and thus
+// follow its last answer at once, would open a new connection each time, which costs both sides a handshake. p.mu must be
+// locked.
+func (p *Pool) worthWaiting(e *endpoint) bool {
+	return len(e.idle) > 0 && e.idle[0].exchangeTime >= p.reuseWaitThreshold
+}
+
+// noneReusable reports whether there are idle connections, and the reuse delay of none of them is over. At
+// maxConnections, an attempt then waits for a connection to its endpoint: to close connections that are all in use at
+// this rate of requests would only make the next attempts open them again. p.mu must be locked.
+func (p *Pool) noneReusable(now time.Time) bool {
+	oldest := p.oldestIdle()
+	return oldest != nil && now.Sub(oldest.idle[0].idleSince) < p.reuseDelay
+}
+
+// takeOldest removes and returns the endpoint's connection that has been idle for longest, or nil if none is idle. Pool.mu
+// must be locked.
+func takeOldest(e *endpoint) *conn {
+	if len(e.idle) == 0 {
+		return nil
 	}
-	return nil
+	c := e.idle[0]
+	e.idle = slices.Delete(e.idle, 0, 1)
+	return c
 }
 
+// awaitReuseDelay waits until the reuse delay of a connection that acquire has returned is over.
+func (p *Pool) awaitReuseDelay(c *conn) { time.Sleep(p.reuseDelay - time.Since(c.idleSince)) }
+
 // evictOldest closes the connection that has been idle for longest, of all endpoints. It returns false if none is idle.
 // p.mu must be locked.
 func (p *Pool) evictOldest() bool {
+	oldest := p.oldestIdle()
+	if oldest == nil {
+		return false
+	}
+	p.closeConn(takeOldest(oldest))
+	return true
+}
+
+// oldestIdle returns the endpoint of the connection that has been idle for longest, or nil if no connection is idle. The
+// connection is the first one of the endpoint's idle connections. p.mu must be locked.
+func (p *Pool) oldestIdle() *endpoint {
 	var oldest *endpoint
 	for _, e := range p.endpoints {
 		if len(e.idle) > 0 && (oldest == nil || e.idle[0].idleSince.Before(oldest.idle[0].idleSince)) {
 			oldest = e
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	p.closeConn(oldest.idle[0])
-	oldest.idle = oldest.idle[1:]
-	return true
+	return oldest
 }
 
-// release ends an attempt's, stream's or tunnel's use of a connection. The connection becomes idle if it is reusable, the
-// endpoint is still listed and maxIdlePerEndpoint is not reached; otherwise release closes it.
+// release ends an attempt's, stream's or tunnel's use of a connection. The connection becomes idle if it is reusable and the
+// endpoint is still listed; otherwise release closes it. A connection counts against maxIdlePerEndpoint only once its reuse
+// delay is over, because at a high rate of requests many connections are within the delay at any time.
 func (p *Pool) release(c *conn, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := c.endpoint
 	p.releases++
 	e.used = true
-	if !reusable || e.removed || len(e.idle) >= p.maxIdlePerEndpoint {
+	if !reusable || e.removed {
 		p.closeConn(c)
 		return
 	}
 	if cap(c.requestBuffer) > maxIdleRequestBufferBytes {
 		c.requestBuffer = nil
 	}
-	c.reused, c.idleSince = true, time.Now()
-	c.exchangeTime = c.idleSince.Sub(c.exchangeStart)
+	now := time.Now()
+	c.reused, c.idleSince = true, now
+	c.exchangeTime = now.Sub(c.exchangeStart)
 	e.idle = append(e.idle, c)
+	p.evictExpired(e, now)
 }
--- a/internal/upstream/h1client/idleconns_test.go
+++ b/internal/upstream/h1client/idleconns_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"yokestall/internal/engine"
+	"yokestall/internal/keepalive"
 	"yokestall/internal/testutil"
 	"yokestall/policy"
 )
@@ -35,6 +36,7 @@
 // connection before the end of the reuse delay. After a long exchange, the next request waits for that rather than open
 // another connection, and reuses the connection if nothing follows the answer.
 func TestReuseDelay(t *testing.T) {
+	const reuseWaitThreshold = 10 * time.Millisecond
 	const duplicateAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
 	for name, afterAnswer := range map[string]func(nc net.Conn){
 		"a close":       func(nc net.Conn) { nc.Close() },
@@ -48,7 +50,7 @@
 			addr, _ := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
 				remoteAddrs[r.RemoteAddr] = true // needs no lock: there is one request at a time
 				if afterAnswer == nil {
-					time.Sleep(minReuseWaitThreshold) // makes the exchange long enough for the next request to wait
+					time.Sleep(reuseWaitThreshold) // makes the exchange long enough for the next request to wait
 					io.WriteString(w, "hi")
 					return
 				}
@@ -62,7 +64,7 @@
 				done <- struct{}{}
 			})
 			p, id := poolTo(addr)
-			p.reuseDelay = testutil.WaitTimeout / 60
+			p.reuseDelay, p.reuseWaitThreshold = testutil.WaitTimeout/60, reuseWaitThreshold
 			want := 1
 			if afterAnswer != nil {
 				want = 2
@@ -82,6 +84,37 @@
 	}
 }
 
+// At a high rate of requests, more connections are within the reuse delay than an endpoint may have idle ones. They are
+// kept, or each request would open a new connection; once the delay is over, those beyond the limit are closed.
+func TestReuseDelayAtHighRates(t *testing.T) {
+	const connections = 100
+	p := New(Options{EndpointIdleTimeout: 10 * time.Hour, MaxConnections: connections})
+	p.UpdateEndpoints(true, []Endpoint{{ID: 1, Address: "127.0.0.1:1"}})
+	e := p.endpoints[1]
+	p.reuseDelay = time.Hour
+	p.connections = connections
+	for range connections {
+		local, remote := net.Pipe()
+		defer remote.Close()
+		p.release(newConn(local, e), true)
+	}
+	if n := p.OpenConnections(); n != connections {
+		t.Errorf("within the reuse delay: got %d open connections, want %d", n, connections)
+	}
+	oldest := e.idle[0]
+	if c, _, _ := p.acquire(1); c != oldest {
+		t.Error("at MaxConnections: an attempt did not get the connection whose reuse delay is over first")
+	}
+	p.release(oldest, true)
+	p.mu.Lock()
+	p.evictExpired(e, time.Now().Add(p.reuseDelay))
+	p.mu.Unlock()
+	if n := p.OpenConnections(); n != keepalive.MaxIdlePerNode {
+		t.Errorf("after the reuse delay: got %d open connections, want %d", n, keepalive.MaxIdlePerNode)
+	}
+	p.UpdateEndpoints(true, nil)
+}
+
 // An idle connection does not retain the buffer of a large request.
 func TestIdleConnectionsReleaseLargeBuffers(t *testing.T) {
 	addr, _ := startBackend(t, testutil.OK)
@@ -104,6 +137,7 @@
 		nodes, want int
 	}{{1, 32}, {80, 1}, {2, 32}, {10, 12}} {
 		p := New(Options{EndpointIdleTimeout: 15 * time.Second, MaxConnections: 1000, NodeCount: c.nodes})
+		p.reuseDelay = 0 // see TestReuseDelayAtHighRates
 		var list []Endpoint
 		for id := range policy.EndpointID(20) {
 			list = append(list, Endpoint{ID: id, Address: "127.0.0.1:1"})
--- a/internal/upstream/h1client/pool.go
+++ b/internal/upstream/h1client/pool.go
@@ -17,9 +17,9 @@
 	ConnectTimeout      time.Duration // timeout for opening a connection, including the TLS handshake
 	// MaxConnections is the maximum number of connections to all endpoints, including those that are being opened.
 	MaxConnections int
-	// ReuseDelay is the minimum time from an answer to the next request on its connection; 0 means 1 ms. Bytes that an
-	// endpoint sends after the answer would otherwise be taken for the answer to the next request.
-	ReuseDelay time.Duration
+	// ReuseWaitFactor sets when an attempt waits for the end of a connection's ReuseDelay rather than open another
+	// connection: if the connection's last exchange took at least this many times ReuseDelay. 0 means 10.
+	ReuseWaitFactor int
 	// AnyStatus makes every answer with a status below 500 a success; without it, only answers with status 200 are. With
 	// AnyStatus, an answer from status 500 on is returned with the failed result, for clients that get no better answer,
 	// and a body that is longer than MaxBody or slow is returned as a stream.
@@ -46,9 +46,9 @@
 type Pool struct {
 	// maxIdleTime is how long a connection may have been idle and still be reused.
 	maxIdleTime time.Duration
-	reuseDelay  time.Duration
+	reuseDelay  time.Duration // ReuseDelay; less in tests
 	// reuseWaitThreshold is the minimum duration of a connection's last exchange for an attempt to wait for the end of the
-	// connection's reuseDelay. After a shorter exchange, the attempt uses another connection.
+	// connection's reuseDelay; see worthWaiting.
 	reuseWaitThreshold time.Duration
 	nodeCount          int
 	prices             keepalive.Prices
@@ -62,7 +62,7 @@
 	maxConnections     int
 	endpoints          map[policy.EndpointID]*endpoint
 	connections        int           // number of connections to all endpoints, including those being opened
-	maxIdlePerEndpoint int           // maximum number of idle connections to one endpoint
+	maxIdlePerEndpoint int           // maximum number of idle connections to one endpoint whose reuse delay is over
 	idleTimeout        time.Duration // idle time after which EvictIdle closes a connection
 	releases           int           // number of connections released since limitsUpdatedAt
 	limitsUpdatedAt    time.Time     // time of the last updateIdleLimits
@@ -82,19 +82,19 @@
 // New returns a pool without endpoints.
 func New(o Options) *Pool {
 	maxIdleTime := time.Duration(float64(o.EndpointIdleTimeout) * IdleTimeoutFraction)
-	p := &Pool{
-		maxIdleTime: maxIdleTime, reuseDelay: defaultReuseDelay, reuseWaitThreshold: minReuseWaitThreshold,
-		nodeCount: o.NodeCount, prices: o.Prices,
+	if o.ReuseWaitFactor == 0 {
+		o.ReuseWaitFactor = defaultReuseWaitFactor
+	}
+	return &Pool{
+		maxIdleTime: maxIdleTime, reuseDelay: ReuseDelay,
+		reuseWaitThreshold: time.Duration(o.ReuseWaitFactor) * ReuseDelay,
+		nodeCount:          o.NodeCount, prices: o.Prices,
 		anyStatus: o.AnyStatus, streamLargeBodies: o.StreamLargeBodies, tls: o.TLS,
 		connectTimeout: o.ConnectTimeout, maxConnections: o.MaxConnections,
 		endpoints:          map[policy.EndpointID]*endpoint{},
 		maxIdlePerEndpoint: keepalive.MaxIdle(keepalive.FleetLoad{Nodes: o.NodeCount}),
 		idleTimeout:        maxIdleTime, limitsUpdatedAt: time.Now(),
 	}
-	if o.ReuseDelay > 0 {
-		p.reuseDelay, p.reuseWaitThreshold = o.ReuseDelay, max(minReuseWaitThreshold, reuseWaitFactor*o.ReuseDelay)
-	}
-	return p
 }
 
 // SetLimits replaces Options.ConnectTimeout and Options.MaxConnections. Both apply to connections that are opened from now
--- a/internal/upstream/h2client/pool_test.go
+++ b/internal/upstream/h2client/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"golang.org/x/net/http2"
 
 	"yokestall/internal/engine"
+	"yokestall/internal/fake/rawpeer"
 	"yokestall/internal/testutil"
 	"yokestall/internal/upstream/h1client"
 	"yokestall/policy"
@@ -82,6 +84,39 @@
 	}
 }
 
+// Guards against answers that reach the clients of other requests, as over HTTP/1.1 (docs/incidents/0001): a second copy of
+// an answer carries the id of its own stream, and is not the answer to a request that is open when the copy arrives.
+func TestLateDuplicateAnswers(t *testing.T) {
+	answer := func(f *http2.Framer, stream uint32) {
+		f.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: rawpeer.Fields(":status", "200"), EndHeaders: true})
+		f.WriteData(stream, true, fmt.Appendf(nil, "stream %d", stream))
+	}
+	first := uint32(0)
+	addr, conns := newScriptedEndpoint(t, 1, func(f *http2.Framer, _ net.Conn, stream uint32) {
+		for duplicate := first; duplicate > 0 && duplicate < stream; duplicate += 2 {
+			answer(f, duplicate)
+		}
+		if first == 0 {
+			first = stream
+		}
+		answer(f, stream)
+	})
+	pool := New(h1client.Options{EndpointIdleTimeout: time.Minute, ConnectTimeout: testutil.WaitTimeout, MaxConnections: 10})
+	pool.UpdateEndpoints(true, []h1client.Endpoint{{ID: 1, Address: addr}})
+	q := &h1client.Request{Method: "GET", Target: "/x", Host: "a", Header: http.Header{}}
+	for n := range 10 {
+		res := pool.Exchange(engine.NewCall(t.Context()), 1, q, testutil.WaitTimeout)
+		want := fmt.Sprintf("stream %d", 1+2*n)
+		if a, ok := res.Answer.(*h1client.Answer); !ok || string(a.Body) != want {
+			t.Errorf("request %d: result %+v, want the body %q", n, res, want)
+		}
+	}
+	if conns() != 1 {
+		t.Errorf("got %d connections, want 1, so that the copies arrive at open requests", conns())
+	}
+	pool.UpdateEndpoints(true, nil)
+}
+
 // An endpoint that allows one stream on a connection gets at most maxConnsPerEndpoint connections. An attempt that finds no
 // free stream is rejected without being sent, and a stream that ends becomes free for another attempt.
 func TestStreamLimit(t *testing.T) {
