Space the requests of TestAnswersOfAnySize by more than the reuse delay

Cause: the test counts connections for requests that follow each other at once.

Change: the test waits for twice the delay before each request, so that each one may use the connection of the answer before it. Its bound is unchanged, and all that is compared.

--- a/internal/app/http_test.go
+++ b/internal/app/http_test.go
@@ -109,6 +109,7 @@
 	requests := 0
 	for _, path := range []string{"/length", "/chunks", "/pauses"} {
 		for _, n := range sizes {
+			time.Sleep(2 * h1client.ReuseDelay) // after it, the connection of the previous answer may be used again
 			requests++
 			resp, body := s.do("GET", fmt.Sprintf("%s?n=%d", path, n), "")
 			if resp.StatusCode != 200 || body != string(bytes[:n]) {
