Keep the connections that the reuse delay needs, and raise their default

Cause: with the reuse delay a connection carries one request in 20 ms.

Change: beyond the limit of idle connections, as many are kept as are within the delay; at the limit of all connections an attempt waits for a connection to its endpoint that is idle. The default of [upstream] connections is 2048 (512 before), since 512 allow 25,600 requests a second to a cluster.

--- a/internal/config/parseprogram.go
+++ b/internal/config/parseprogram.go
@@ -49,7 +49,7 @@
 func defaultProgramFile() *programFile {
 	f, rules := &programFile{}, policy.DefaultSettings().Rules
 	f.Keys.Poll.Duration = time.Second
-	f.Upstream.Connections, f.Upstream.Idle.Duration = 512, 15*time.Second
+	f.Upstream.Connections, f.Upstream.Idle.Duration = 2048, 15*time.Second
 	f.Upstream.ConnectTimeout.Duration = 250 * time.Millisecond
 	f.Upstream.ClusterIdle.Duration = 2 * time.Minute
 	f.Files.MaxShare, f.Files.Poll.Duration = 0.5, time.Second
--- a/internal/upstream/h1client/idleconns.go
+++ b/internal/upstream/h1client/idleconns.go
@@ -54,11 +54,13 @@
 	}
 }
 
-// evictExpired closes the endpoint's idle connections that exceed idleTimeout or, of those whose reuse delay is over, that
-// exceed maxIdlePerEndpoint; those that have been idle for longest first. p.mu must be locked.
+// evictExpired closes the endpoint's idle connections that exceed idleTimeout or maxIdlePerEndpoint, those that have been idle
+// for longest first. Connections within the reuse delay do not count against maxIdlePerEndpoint. As many others are kept
+// in addition, because the attempts of the next reuse delay need them. p.mu must be locked.
 func (p *Pool) evictExpired(e *endpoint, now time.Time) {
 	reusable := p.reusableCount(e, now)
-	n := max(0, reusable-p.maxIdlePerEndpoint)
+	withinDelay := len(e.idle) - reusable
+	n := max(0, reusable-withinDelay-p.maxIdlePerEndpoint)
 	for n < len(e.idle) && now.Sub(e.idle[n].idleSince) > p.idleTimeout {
 		n++
 	}
@@ -94,6 +96,9 @@
 // it returns a nil conn, the endpoint and policy.OK, and the caller may open a connection, which is counted already. At
 // maxConnections, acquire first closes the connection that has been idle for longest. The status is policy.ConnectFailed
 // if the endpoint is unknown, and policy.NeverSent if maxConnections is reached and no connection is idle.
+//
+// At maxConnections, an attempt waits for an idle connection to its endpoint rather than close another one. At a high rate of
+// requests all of them are within the reuse delay, and the next attempts would open those again that this one closed.
 func (p *Pool) acquire(id policy.EndpointID) (*conn, *endpoint, policy.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,7 +109,7 @@
 	now := time.Now()
 	full := p.connections >= p.maxConnections
 	c := p.takeReusable(e, now)
-	if c == nil && (p.worthWaiting(e) || full && p.noneReusable(now)) {
+	if c == nil && len(e.idle) > 0 && (full || p.worthWaiting(e)) {
 		c = takeOldest(e)
 	}
 	if c != nil {
@@ -142,24 +147,11 @@
 // that the wait is short compared with the endpoint's latency. Otherwise requests that wait for an endpoint, and thus
 // follow its last answer at once, would open a new connection each time, which costs both sides a handshake. p.mu must be
 // locked.
-func (p *Pool) worthWaiting(e *endpoint) bool {
-	return len(e.idle) > 0 && e.idle[0].exchangeTime >= p.reuseWaitThreshold
-}
-
-// noneReusable reports whether there are idle connections, and the reuse delay of none of them is over. At
-// maxConnections, an attempt then waits for a connection to its endpoint: to close connections that are all in use at
-// this rate of requests would only make the next attempts open them again. p.mu must be locked.
-func (p *Pool) noneReusable(now time.Time) bool {
-	oldest := p.oldestIdle()
-	return oldest != nil && now.Sub(oldest.idle[0].idleSince) < p.reuseDelay
-}
+func (p *Pool) worthWaiting(e *endpoint) bool { return e.idle[0].exchangeTime >= p.reuseWaitThreshold }
 
-// takeOldest removes and returns the endpoint's connection that has been idle for longest, or nil if none is idle. Pool.mu
+// takeOldest removes and returns the endpoint's connection that has been idle for longest. There must be one, and Pool.mu
 // must be locked.
 func takeOldest(e *endpoint) *conn {
-	if len(e.idle) == 0 {
-		return nil
-	}
 	c := e.idle[0]
 	e.idle = slices.Delete(e.idle, 0, 1)
 	return c
@@ -171,24 +163,17 @@
 // evictOldest closes the connection that has been idle for longest, of all endpoints. It returns false if none is idle.
 // p.mu must be locked.
 func (p *Pool) evictOldest() bool {
-	oldest := p.oldestIdle()
-	if oldest == nil {
-		return false
-	}
-	p.closeConn(takeOldest(oldest))
-	return true
-}
-
-// oldestIdle returns the endpoint of the connection that has been idle for longest, or nil if no connection is idle. The
-// connection is the first one of the endpoint's idle connections. p.mu must be locked.
-func (p *Pool) oldestIdle() *endpoint {
 	var oldest *endpoint
 	for _, e := range p.endpoints {
 		if len(e.idle) > 0 && (oldest == nil || e.idle[0].idleSince.Before(oldest.idle[0].idleSince)) {
 			oldest = e
 		}
 	}
-	return oldest
+	if oldest == nil {
+		return false
+	}
+	p.closeConn(takeOldest(oldest))
+	return true
 }
 
 // release ends an attempt's, stream's or tunnel's use of a connection. The connection becomes idle if it is reusable and the
