Give out a server's refusal only if it is true of the whole request

Cause: a request's final answer is a verdict and, if a server has said anything, that server's latest answer in place of the program's own. Nothing compared the two: a request that one server turned away and the next one took and never answered had the verdict Failed and the first server's 503.

Change: answers that are refusals (engine.Refuser: 429, 503, X-Not-Processed: 1) are held apart from others and given out only if no attempt may have run or a repeat is harmless (policy.Class.RepeatIsHarmless, which the policy's own rejections use too), looked at once no attempt can be sent any more. So for every front and client; a served 429 is looked at for the other attempts. A 503 of a server that does not say that the request has not run is 502 for such classes.

--- a/internal/engine/answers.go
+++ b/internal/engine/answers.go
@@ -21,7 +21,7 @@
 type Answer struct {
 	Verdict    Verdict
 	RetryAfter time.Duration // for Rejected: how long the client should wait before a retry; 0 means no advice
-	Value      any           // for Served: the answer; else the latest answer of an endpoint, nil if there was none
+	Value      any           // for Served: the answer; else an endpoint's answer that the client may get (see fallback), or nil
 	From       Source        // for Served: the endpoint that answered
 	MayHaveRun bool          // an attempt was sent and may have run at its endpoint
 }
@@ -45,29 +45,46 @@
 // sendAnswer ends a request and gives it its final answer.
 func (c *Cluster) sendAnswer(r *Request, a Answer) {
 	c.endRequest(r)
-	a.MayHaveRun = r.mayHaveRun()
+	r.fallback.close()
+	a.MayHaveRun = r.mayHaveRun(nil)
 	r.answer <- a
 }
 
-// answerUnserved gives a request that was not served its final answer, with the latest answer of an endpoint as its
-// value. It has no effect on a request that has ended.
+// answerUnserved gives a request that was not served its final answer, with an endpoint's answer as its value if there is
+// one that the client may get. It has no effect on a request that has ended.
 func (c *Cluster) answerUnserved(id policy.RequestID, a Answer) {
 	r := c.requests[id]
 	if r == nil || r.ended {
 		return
 	}
-	a.Value = r.fallbackAnswer
+	c.endRequest(r) // no attempt may be sent between the choice of the value and the answer
+	a.Value = r.fallback.take(r.mayHaveRun(nil), c.repeatIsHarmless(r))
 	c.sendAnswer(r, a)
 	c.deferred = append(c.deferred, requestAnswered{r})
 }
 
-// mayHaveRun reports whether an attempt of the request was sent and may have run at its endpoint.
-func (r *Request) mayHaveRun() bool {
-	if r.attemptMayHaveRun {
-		return true
+// answerServed gives a request the answer of a successful attempt. The request fails instead if the answer is a refusal
+// and another attempt may have run, unless a repeat is harmless.
+func (c *Cluster) answerServed(a *attempt, answer any) {
+	r := a.request
+	c.endRequest(r) // no attempt may be sent between the check and the answer
+	if isRefusal(answer) && r.mayHaveRun(a) && !c.repeatIsHarmless(r) {
+		closeAnswer(answer)
+		c.sendAnswer(r, Answer{Verdict: Failed})
+		return
 	}
+	c.sendAnswer(r, Answer{Verdict: Served, Value: answer, From: Source{a.endpoint, a.drain}})
+}
+
+// repeatIsHarmless reports whether the client may repeat the request without harm even if an attempt may have run.
+func (c *Cluster) repeatIsHarmless(r *Request) bool {
+	return r.Class >= 0 && r.Class < len(c.classes) && c.classes[r.Class].RepeatIsHarmless()
+}
+
+// mayHaveRun reports whether an attempt of the request other than except was sent and may have run at its endpoint.
+func (r *Request) mayHaveRun(except *attempt) bool {
 	for _, a := range r.attempts {
-		if !a.reported && a.mayHaveRun(policy.Cancelled) {
+		if a != except && a.mayHaveRun() {
 			return true
 		}
 	}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -14,6 +14,7 @@
 	index            int           // position in Request.attempts; retries and hedged requests have 1 and above
 	startedAt        time.Duration // time on the Clock of the Balancer's decision or, if later, of the last body byte's arrival
 	reported         bool          // the outcome was reported to the Balancer
+	status           policy.Status // the outcome, once it was reported
 	awaitsLateAnswer bool          // the exchange goes on after the outcome, for Request.OnLateAnswer
 	countsAsRetry    bool          // the attempt is counted in Cluster.retriesInFlight
 	timeoutTimer     timer
@@ -132,7 +133,7 @@
 // attempt's answer, the attempt is stopped after Request.LateAnswerTimeout instead.
 func (c *Cluster) closeAttempt(now time.Duration, a *attempt, status policy.Status) {
 	r := a.request
-	a.reported = true
+	a.reported, a.status = true, status
 	r.inFlight--
 	if a.countsAsRetry {
 		c.retriesInFlight--
@@ -145,9 +146,7 @@
 	} else {
 		a.Stop()
 	}
-	if a.mayHaveRun(status) {
-		r.attemptMayHaveRun = true
-	} else if r.dedupWindow != nil {
+	if r.dedupWindow != nil && !a.mayHaveRun() {
 		r.dedupWindow.remove(&a.Call)
 	}
 	c.timers.clear(&a.timeoutTimer)
@@ -173,7 +172,7 @@
 	closeAnswer(result.Answer)
 }
 
-// takeAnswer gives a successful answer to the request as its final answer, and stores the answer of any other result as
+// takeAnswer gives a successful answer to the request as its final answer, and adds the answer of any other result to
 // the request's fallback. If the request has ended, the first successful answer goes to Request.OnLateAnswer, if that is
 // set, and other answers are closed.
 func (c *Cluster) takeAnswer(a *attempt, result Result, servedBefore bool) {
@@ -184,9 +183,9 @@
 	case r.ended:
 		closeAnswer(result.Answer)
 	case result.Status == policy.OK:
-		c.sendAnswer(r, Answer{Verdict: Served, Value: result.Answer, From: Source{a.endpoint, a.drain}})
+		c.answerServed(a, result.Answer)
 	case result.Answer != nil:
-		r.fallbackAnswer = result.Answer
+		r.fallback.add(result)
 	}
 }
 
@@ -209,17 +208,19 @@
 		return
 	}
 	verdict := Rejected
-	if r.attemptMayHaveRun {
+	if r.mayHaveRun(nil) {
 		verdict = Failed
 	}
 	c.answerUnserved(r.id, Answer{Verdict: verdict, RetryAfter: r.SendRetryAfter})
 }
 
-// mayHaveRun reports whether an attempt that ends with this status may have run at its endpoint.
-func (a *attempt) mayHaveRun(status policy.Status) bool {
-	switch status {
-	case policy.Rejected, policy.ConnectFailed, policy.NeverSent:
-		return false
+// mayHaveRun reports whether the attempt was sent and may have run at its endpoint, or may yet run.
+func (a *attempt) mayHaveRun() bool {
+	if a.reported {
+		switch a.status {
+		case policy.Rejected, policy.ConnectFailed, policy.NeverSent:
+			return false
+		}
 	}
 	return a.gate.passed()
 }
--- a/internal/engine/cluster.go
+++ b/internal/engine/cluster.go
@@ -141,7 +141,7 @@
 		}
 		c.endRequest(r) // keeps attempts from being sent between the verdict and the answer
 		verdict := Rejected
-		if r.mayHaveRun() {
+		if r.mayHaveRun(nil) {
 			verdict = Failed
 		}
 		c.sendAnswer(r, Answer{Verdict: verdict, RetryAfter: c.abortRetryAfter})
--- a/internal/engine/exchanger.go
+++ b/internal/engine/exchanger.go
@@ -23,7 +23,7 @@
 type Result struct {
 	Status policy.Status
 	// Answer is the endpoint's answer, nil if there is none. With a Status other than policy.OK, it is passed to the
-	// client if no attempt succeeds.
+	// client if no attempt succeeds. An answer that may be a refusal has to implement Refuser.
 	Answer any
 	// Final makes this outcome the last one of the request, whatever Status is: no further attempt is made.
 	Final bool
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -47,16 +47,15 @@
 	answer chan Answer // capacity 1
 
 	// The fields below are used by the loop's goroutine only.
-	id                policy.RequestID
-	attempts          []*attempt
-	firstAttempt      [1]*attempt // storage of attempts until there is a second one
-	inFlight          int         // attempts without an outcome
-	ended             bool        // the request has its final answer, or its client disconnected
-	served            bool        // an attempt succeeded
-	attemptMayHaveRun bool        // an attempt that has ended may have run
-	fallbackAnswer    any         // Result.Answer of the latest attempt that did not succeed
-	deadlineTimer     timer
-	dedupWindow       *dedupWindow // nil unless the class is idempotent by key
+	id            policy.RequestID
+	attempts      []*attempt
+	firstAttempt  [1]*attempt // storage of attempts until there is a second one
+	inFlight      int         // attempts without an outcome
+	ended         bool        // the request has its final answer, or its client disconnected
+	served        bool        // an attempt succeeded
+	fallback      fallback    // answers of attempts that did not succeed
+	deadlineTimer timer
+	dedupWindow   *dedupWindow // nil unless the class is idempotent by key
 }
 
 // Do submits a request and waits for its final answer. It returns ErrClientDisconnected if ctx ends before the answer,
@@ -154,6 +153,7 @@
 		return
 	}
 	c.endRequest(r)
+	r.fallback.close()
 	c.balancer.ClientDisconnected(now, r.id)
 	c.removeIfDone(r)
 }
--- a/internal/upstream/h1client/answer.go
+++ b/internal/upstream/h1client/answer.go
@@ -56,6 +56,15 @@
 	return nil
 }
 
+var _ engine.Refuser = (*Answer)(nil)
+
+// Refuses implements engine.Refuser. By the platform's protocol, a client may send a request again after status 429 or 503;
+// X-Not-Processed: 1 says that the request has not run.
+func (a *Answer) Refuses() bool {
+	return a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable ||
+		a.Header.Get("X-Not-Processed") == "1"
+}
+
 // FailureStatus returns the status of an attempt whose answer is a failure: policy.Rejected if the endpoint states, with
 // status 503 or 504 and X-Not-Processed: 1, that it did not process the request, and policy.ErrorResponse otherwise.
 func FailureStatus(resp *http.Response) policy.Status {
--- a/policy/idempotency.go
+++ b/policy/idempotency.go
@@ -52,10 +52,15 @@
 	return true
 }
 
+// RepeatIsHarmless reports whether a client may repeat a request of the class without harm, even if an
+// attempt may have run: a repeat has no second effect, or all endpoints drop it.
+func (c *Class) RepeatIsHarmless() bool {
+	return c.Idempotency == Idempotent || c.Idempotency == IdempotentByKey && c.DedupScope == ScopeAll
+}
+
 // mayReject reports whether a rejection may promise that the client can repeat the request without harm.
 func (r *request) mayReject() bool {
-	c := r.class
-	if c.Idempotency == Idempotent || c.Idempotency == IdempotentByKey && c.DedupScope == ScopeAll {
+	if r.class.RepeatIsHarmless() {
 		return true
 	}
 	for i := range r.attempts {
