Say that a request may have run if its cluster ends under it

Cause: Cluster.Do answers Failed without MayHaveRun if the cluster ends while the request is open. A cluster that was replaced because the settings changed then hands the request to its successor, also an unsafe one, and if that has ended too, the client is refused (503) although an attempt may have run.

Change: the answer says that the request may have run.

--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -81,7 +81,7 @@
 		case a := <-r.answer:
 			return a, nil
 		default: // not Rejected, since an attempt may have run
-			return Answer{Verdict: Failed}, nil
+			return Answer{Verdict: Failed, MayHaveRun: true}, nil
 		}
 	}
 }
