Replace untrue refusals where the external processor picks

Cause: where the processor picks, its caller sends the attempts and passes on the last one's response. The processor sees it and let it through: a 503 of a server that may have run an unsafe request, or "not processed" and 429 after an earlier attempt that may have run a request keyed by zone.

Change: such a response is replaced by 502 by the rule that the engine has, unless a repeat is harmless (ingress.Destination.RepeatIsHarmless). The stand-in for a caller obeys an immediate response to response headers, as service.ext_proc.v3 says.

--- a/internal/downstream/extproc/pick.go
+++ b/internal/downstream/extproc/pick.go
@@ -75,14 +75,15 @@
 	s.Stats.Picked.Add(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	r = &pickRequest{
-		server:         s,
-		key:            key,
-		admission:      a,
-		cancel:         cancel,
-		reportsRetries: reportsRetries,
-		endpoints:      make(chan *pickedEndpoint),
-		done:           make(chan struct{}),
-		waitingStreams: 1,
+		server:           s,
+		key:              key,
+		admission:        a,
+		cancel:           cancel,
+		reportsRetries:   reportsRetries,
+		repeatIsHarmless: p.destination.RepeatIsHarmless,
+		endpoints:        make(chan *pickedEndpoint),
+		done:             make(chan struct{}),
+		waitingStreams:   1,
 	}
 	s.mu.Lock()
 	if s.picks[key] != nil { // another stream has begun a request with this key since findOrBeginPick
--- a/internal/downstream/extproc/pickoutcome.go
+++ b/internal/downstream/extproc/pickoutcome.go
@@ -30,13 +30,18 @@
 		case NoPhase:
 			continue
 		case ResponseHeaders:
-			status, err := p.outcome(e)
+			response, err := p.parseResponse()
 			if err != nil {
 				r.reportOutcome(e, policy.Cancelled)
 				return err
 			}
+			status := p.outcome(e, response)
+			untrue := response.Refuses() && !r.refusalAllowed(status)
 			r.reportOutcome(e, status)
-			p.applyResponseEdits(reply)
+			if untrue {
+				return p.sendFailure()
+			}
+			p.applyResponseEdits(reply, response)
 		case ResponseBody, ResponseTrailers:
 			r.reportOutcome(e, policy.OK) // no effect unless the headers were skipped (response_header_mode SKIP)
 		}
@@ -56,39 +61,59 @@
 	return policy.Cancelled
 }
 
-// applyResponseEdits adds the route's response header edits to the reply to the response headers.
-func (p *processingStream) applyResponseEdits(reply *pb.ProcessingResponse) {
-	if p.destination.ResponseEdits == nil {
-		return
+// refusalAllowed reports whether the client may get a response that refuses the request (h1client.Answer.Refuses), from
+// an attempt with this outcome. It may if a repeat is harmless, or if no attempt may have run. It must be called before
+// the outcome is reported.
+func (r *pickRequest) refusalAllowed(status policy.Status) bool {
+	if r.repeatIsHarmless {
+		return true
 	}
-	h, err := parseHeaders(p.message.GetResponseHeaders().GetHeaders(), p.server.MaxHeaderBytes)
-	if err != nil {
-		return // not reached: outcome has parsed the same headers before
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mayHaveRun { // at an earlier attempt
+		return false
 	}
-	after := h.fields.Clone()
-	p.destination.ResponseEdits.Apply(after)
-	reply.GetResponseHeaders().Response.HeaderMutation = headerMutation(h.fields, after)
+	switch status {
+	case policy.OK, policy.Rejected, policy.ConnectFailed, policy.NeverSent:
+		return true
+	}
+	return false
 }
 
-// outcome returns the attempt's outcome, derived from the response headers. If the caller reports that it used another
-// endpoint than the picked one, the outcome doesn't count for or against the picked endpoint.
-func (p *processingStream) outcome(e *pickedEndpoint) (policy.Status, error) {
+// parseResponse returns the status and the header fields of the message's response headers.
+func (p *processingStream) parseResponse() (*h1client.Answer, error) {
 	h, err := parseHeaders(p.message.GetResponseHeaders().GetHeaders(), p.server.MaxHeaderBytes)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	code, err := strconv.Atoi(h.status)
 	if err != nil || code < 100 || code > 599 {
-		return 0, errors.New("response_headers: :status is missing or malformed, want a number from 100 to 599")
+		return nil, errors.New("response_headers: :status is missing or malformed, want a number from 100 to 599")
 	}
+	return &h1client.Answer{Status: code, Header: h.fields}, nil
+}
+
+// applyResponseEdits adds the route's response header edits to the reply to the response headers.
+func (p *processingStream) applyResponseEdits(reply *pb.ProcessingResponse, response *h1client.Answer) {
+	if p.destination.ResponseEdits == nil {
+		return
+	}
+	after := response.Header.Clone()
+	p.destination.ResponseEdits.Apply(after)
+	reply.GetResponseHeaders().Response.HeaderMutation = headerMutation(response.Header, after)
+}
+
+// outcome returns the attempt's outcome, derived from the response headers. If the caller reports that it used another
+// endpoint than the picked one, the outcome doesn't count for or against the picked endpoint.
+func (p *processingStream) outcome(e *pickedEndpoint, response *h1client.Answer) policy.Status {
 	used, details := reportedUpstream(p.message)
 	if used != "" && used != e.address {
 		p.server.Stats.EndpointMismatches.Add(1)
 		p.server.Log.Warn("caller used another endpoint than the selected one",
 			"given", e.address, "sent", used, "request", p.attributes.ID)
-		return policy.Cancelled, nil // not an outcome of the picked endpoint
+		return policy.Cancelled // not an outcome of the picked endpoint
 	}
-	return Outcome(code, h.fields, details), nil
+	return Outcome(response.Status, response.Header, details)
 }
 
 // reportedUpstream returns the address of the endpoint that the caller used and Envoy's response code details. Each is
--- a/internal/downstream/extproc/pickrequest.go
+++ b/internal/downstream/extproc/pickrequest.go
@@ -27,8 +27,9 @@
 	cancel    context.CancelFunc
 	// reportsRetries says that the caller opens a stream for each of its own retries. Otherwise an attempt that was sent
 	// is the request's last one, because no stream would be opened for another endpoint.
-	reportsRetries bool
-	endpoints      chan *pickedEndpoint // passes an attempt's endpoint from Carry to a waiting stream
+	reportsRetries   bool
+	repeatIsHarmless bool                 // see ingress.Destination
+	endpoints        chan *pickedEndpoint // passes an attempt's endpoint from Carry to a waiting stream
 
 	done   chan struct{} // closed once the engine has answered
 	answer engine.Answer // the engine's answer; set before done is closed
--- a/internal/fake/proxy/upstream.go
+++ b/internal/fake/proxy/upstream.go
@@ -80,7 +80,7 @@
 }
 
 // reportResponse reports the response headers to the processor, applies the processor's mutation to them, and ends the
-// stream.
+// stream. If the processor replies with an immediate response, that replaces the server's response.
 func (x *exchange) reportResponse(server, details string) error {
 	header := headerMap{}
 	header.add(":status", strconv.Itoa(x.result.Status))
@@ -97,6 +97,10 @@
 	if err != nil {
 		return err
 	}
+	if immediate := reply.GetImmediateResponse(); immediate != nil {
+		x.setImmediateResponse(immediate)
+		return nil
+	}
 	ApplyMutation(x.result.Header, reply.GetResponseHeaders().GetResponse().GetHeaderMutation())
 	x.stream.CloseSend()
 	x.stream.Recv()
--- a/internal/ingress/destination.go
+++ b/internal/ingress/destination.go
@@ -30,9 +30,11 @@
 	Cluster     Handler
 	Class       int // index of the class in the cluster's settings
 	Idempotency policy.Idempotency
-	DedupWindow time.Duration  // for policy.IdempotentByKey: time for which endpoints drop a repeated request
-	Deadline    time.Duration  // the class's deadline, or the route's timeout if that is shorter
-	Tenants     map[string]int // maps a tenant's name to its index; nil if requests have no tenants
+	// RepeatIsHarmless says that a client may repeat a request even if it may have run; see policy.Class.
+	RepeatIsHarmless bool
+	DedupWindow      time.Duration  // for policy.IdempotentByKey: time for which endpoints drop a repeated request
+	Deadline         time.Duration  // the class's deadline, or the route's timeout if that is shorter
+	Tenants          map[string]int // maps a tenant's name to its index; nil if requests have no tenants
 	// TenantsByCertificate maps names in clients' certificates to indices of tenants. If a client's certificate has such
 	// a name, the client's requests belong to that tenant, whatever X-Tenant-Id says.
 	TenantsByCertificate map[string]int
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -24,8 +24,9 @@
 	}
 	class := &r.cfg.Policy.Classes[index]
 	return ingress.Destination{
-		Cluster: r.cluster, Class: index, Idempotency: class.Idempotency, Deadline: class.Deadline,
-		Tenants: r.cfg.Tenants, MaxRetryAfter: r.cfg.Policy.Limits.MaxRetryAfter,
+		Cluster: r.cluster, Class: index, Idempotency: class.Idempotency, RepeatIsHarmless: class.RepeatIsHarmless(),
+		Deadline: class.Deadline,
+		Tenants:  r.cfg.Tenants, MaxRetryAfter: r.cfg.Policy.Limits.MaxRetryAfter,
 		StreamLimits: h1client.StreamLimits{StallTimeout: streamStallTimeout},
 	}, nil
 }
