--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -74,8 +74,9 @@
 // which the caller sets.
 func (s *state) destination(r *route.Route, c *config.Class) ingress.Destination {
 	out := ingress.Destination{
-		Idempotency: c.Idempotency, RepeatIsHarmless: c.RepeatIsHarmless(), DedupWindow: c.DedupWindow, Deadline: requestDeadline(r, c),
-		Tenants: s.tenants.byName, MaxRetryAfter: s.program.Limits.MaxRetryAfter,
+		Idempotency: c.Idempotency, RepeatIsHarmless: c.RepeatIsHarmless(), DedupWindow: c.DedupWindow,
+		Deadline: requestDeadline(r, c),
+		Tenants:  s.tenants.byName, MaxRetryAfter: s.program.Limits.MaxRetryAfter,
 		StreamLimits: h1client.StreamLimits{StallTimeout: c.Progress, MaxDuration: c.Stream, DrainTimeout: c.Drain},
 		MaxAttempts:  r.MaxAttempts, PerTryTimeout: r.PerTryTimeout, TenantsByCertificate: s.tenants.byCertificate,
 		PickEndpoint: r.Processor == route.ProcessorPick || r.Processor == "" && s.program.ExtProc.Pick,
