Name the receiver and requests of managedCluster, and SendAttempt

Change: m, request, SendAttempt, newRequest. Names alone, but for the shared function.

Measured: the tests of app, extproc and xds pass.

--- a/internal/app/apply.go
+++ b/internal/app/apply.go
@@ -78,8 +78,8 @@
 // hasSettings reports whether the cluster was created with the policy settings and upstream settings of a state and with
 // this transport, so that the state can keep the cluster. Policy settings are compared by pointer, since newSettings
 // returns the previous pointer for equal settings.
-func (r *managedCluster) hasSettings(s *state, transport cluster.Transport) bool {
-	return r.settings == s.settings && r.upstream == s.program.Upstream && reflect.DeepEqual(r.transport, transport)
+func (m *managedCluster) hasSettings(s *state, transport cluster.Transport) bool {
+	return m.settings == s.settings && m.upstream == s.program.Upstream && reflect.DeepEqual(m.transport, transport)
 }
 
 // warnUndefinedClusters logs each cluster that routes name and the next state does not define, if the routes are new or
--- a/internal/app/clusterrequest.go
+++ b/internal/app/clusterrequest.go
@@ -21,92 +21,92 @@
 // Do implements ingress.Handler. If the cluster is replaced during the request because the settings changed, the request
 // migrates to the successor, provided that no attempt can have run or that the request's class is idempotent. The error is
 // engine.ErrRetired if no cluster accepts the request.
-func (r *managedCluster) Do(ctx context.Context, q *engine.Request) (engine.Answer, error) {
-	a, err := r.doOnce(ctx, q)
+func (m *managedCluster) Do(ctx context.Context, request *engine.Request) (engine.Answer, error) {
+	a, err := m.doOnce(ctx, request)
 	for range maxMigrations {
-		if !r.retired.Load() || !r.mayMigrate(q, a, err) {
+		if !m.retired.Load() || !m.mayMigrate(request, a, err) {
 			break
 		}
-		successor := r.app.state.Load().clusters[r.name]
-		if successor == nil || successor == r {
+		successor := m.app.state.Load().clusters[m.name]
+		if successor == nil || successor == m {
 			break
 		}
-		migrated, ok := successor.migrateRequest(r, q)
+		migrated, ok := successor.migrateRequest(m, request)
 		if !ok {
 			break
 		}
-		r, q = successor, migrated
-		a, err = r.doOnce(ctx, q)
+		m, request = successor, migrated
+		a, err = m.doOnce(ctx, request)
 	}
 	return a, err
 }
 
 // mayMigrate reports whether a request may be started again at another cluster after this outcome: the client has
 // received nothing from an endpoint, and either no attempt can have run or the request's class is idempotent.
-func (r *managedCluster) mayMigrate(q *engine.Request, a engine.Answer, err error) bool {
+func (m *managedCluster) mayMigrate(request *engine.Request, a engine.Answer, err error) bool {
 	switch {
 	case err != nil:
 		return errors.Is(err, engine.ErrRetired)
 	case a.Verdict == engine.Served, a.Verdict == engine.Failed && a.Value != nil:
 		return false
 	}
-	return !a.MayHaveRun || r.settings.Classes[q.Class].Idempotency == policy.Idempotent
+	return !a.MayHaveRun || m.settings.Classes[request.Class].Idempotency == policy.Idempotent
 }
 
 // migrateRequest translates a request to another cluster into a request to this cluster. It returns false if the
 // request's body is incomplete or can't be sent from its beginning, or if this cluster lacks the class or the tenant.
-func (r *managedCluster) migrateRequest(from *managedCluster, q *engine.Request) (*engine.Request, bool) {
-	body, streaming := q.Payload.(engine.StreamingPayload)
-	if q.BodyIncomplete || streaming && (body.Consumed() || body.Streaming()) {
+func (m *managedCluster) migrateRequest(from *managedCluster, request *engine.Request) (*engine.Request, bool) {
+	body, streaming := request.Payload.(engine.StreamingPayload)
+	if request.BodyIncomplete || streaming && (body.Consumed() || body.Streaming()) {
 		return nil, false
 	}
-	class := r.correspondingClass(&from.classes[q.Class])
+	class := m.correspondingClass(&from.classes[request.Class])
 	if class < 0 {
 		return nil, false
 	}
-	tenant := r.tenants.correspondingTenant(from.tenants, q.Tenant)
+	tenant := m.tenants.correspondingTenant(from.tenants, request.Tenant)
 	if tenant < 0 {
 		return nil, false
 	}
 	return &engine.Request{
-		Class: class, Tenant: tenant, WorkHint: q.WorkHint,
-		Deadline: q.Deadline, UploadTimeout: q.UploadTimeout, Payload: q.Payload,
-		MaxAttempts: q.MaxAttempts, PerTryTimeout: q.PerTryTimeout,
-		OnLateAnswer: q.OnLateAnswer, LateAnswerTimeout: q.LateAnswerTimeout,
-		SendAllowed: q.SendAllowed, SendRetryAfter: q.SendRetryAfter, ClientDisconnected: q.ClientDisconnected,
+		Class: class, Tenant: tenant, WorkHint: request.WorkHint,
+		Deadline: request.Deadline, UploadTimeout: request.UploadTimeout, Payload: request.Payload,
+		MaxAttempts: request.MaxAttempts, PerTryTimeout: request.PerTryTimeout,
+		OnLateAnswer: request.OnLateAnswer, LateAnswerTimeout: request.LateAnswerTimeout,
+		SendAllowed: request.SendAllowed, SendRetryAfter: request.SendRetryAfter, ClientDisconnected: request.ClientDisconnected,
 	}, true
 }
 
 // correspondingClass returns the index of the cluster's class with the same name and idempotency as class, or -1 if there
 // is none.
-func (r *managedCluster) correspondingClass(class *config.Class) int {
-	i := slices.IndexFunc(r.classes, func(c config.Class) bool { return c.Name == class.Name })
-	if i < 0 || r.classes[i].Idempotency != class.Idempotency {
+func (m *managedCluster) correspondingClass(class *config.Class) int {
+	i := slices.IndexFunc(m.classes, func(c config.Class) bool { return c.Name == class.Name })
+	if i < 0 || m.classes[i].Idempotency != class.Idempotency {
 		return -1
 	}
 	return i
 }
 
 // doOnce passes a request to the engine of a tier, or rejects the request if it exceeds the cluster's limits.
-func (r *managedCluster) doOnce(ctx context.Context, q *engine.Request) (engine.Answer, error) {
-	inFlight := r.inFlight.Add(1) // must precede the read of r.active: see deactivate
-	defer r.endRequest()
-	t, err := r.activate()
+func (m *managedCluster) doOnce(ctx context.Context, request *engine.Request) (engine.Answer, error) {
+	inFlight := m.inFlight.Add(1) // must precede the read of m.active: see deactivate
+	defer m.endRequest()
+	t, err := m.activate()
 	if err != nil {
 		return engine.Answer{}, err
 	}
 	if exceeds(&t.limits, inFlight) {
-		return engine.Answer{Verdict: engine.Rejected, RetryAfter: r.settings.Limits.MaxRetryAfter}, nil
+		return engine.Answer{Verdict: engine.Rejected, RetryAfter: m.settings.Limits.MaxRetryAfter}, nil
 	}
-	a, err := t.pick().engine.Do(ctx, q)
+	a, err := t.pick().engine.Do(ctx, request)
 	if errors.Is(err, engine.ErrRetired) { // an update retired the tier before it sent anything
-		if current := r.active.Load(); current != nil && current != t {
-			a, err = current.list[0].engine.Do(ctx, q)
+		if current := m.active.Load(); current != nil && current != t {
+			a, err = current.list[0].engine.Do(ctx, request)
 		}
 	}
 	if err == nil && a.Verdict == engine.Served {
-		if o, ok := q.Payload.(*h1client.Request); ok {
-			r.streams.limit(a, streamtimeout.Limits{MaxDuration: o.Limits.MaxDuration, DrainTimeout: o.Limits.DrainTimeout})
+		if o, ok := request.Payload.(*h1client.Request); ok {
+			m.streams.limit(a, streamtimeout.Limits{MaxDuration: o.Limits.MaxDuration, DrainTimeout: o.Limits.DrainTimeout})
 		}
 	}
 	return a, err
@@ -127,9 +127,9 @@
 }
 
 // endRequest records the end of a request.
-func (r *managedCluster) endRequest() {
-	r.lastUsed.Store(int64(r.app.clock.Now()))
-	r.inFlight.Add(-1)
+func (m *managedCluster) endRequest() {
+	m.lastUsed.Store(int64(m.app.clock.Now()))
+	m.inFlight.Add(-1)
 }
 
 // pick chooses the tier of a request at random, with probabilities that follow the health of the tiers.
--- a/internal/app/idle.go
+++ b/internal/app/idle.go
@@ -12,21 +12,21 @@
 
 // activate returns the cluster's tiers, and starts their engines if the cluster is idle. The error is engine.ErrRetired
 // if the cluster accepts no more requests.
-func (r *managedCluster) activate() (*tiers, error) {
-	if t := r.active.Load(); t != nil {
+func (m *managedCluster) activate() (*tiers, error) {
+	if t := m.active.Load(); t != nil {
 		return t, nil
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if t := r.active.Load(); t != nil {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if t := m.active.Load(); t != nil {
 		return t, nil
 	}
-	if r.retired.Load() || r.ctx.Err() != nil {
+	if m.retired.Load() || m.ctx.Err() != nil {
 		return nil, engine.ErrRetired
 	}
-	t := r.updateTiers(r.app.clock.Now())
-	if r.aborted {
-		for _, t := range r.tiers {
+	t := m.updateTiers(m.app.clock.Now())
+	if m.aborted {
+		for _, t := range m.tiers {
 			t.engine.Abort()
 		}
 	}
@@ -35,27 +35,27 @@
 
 // deactivate ends the engines of a cluster that has had no request since a time on the app's clock and has no open
 // stream, and caches the engines' snapshots. It returns false if the cluster is in use or already idle.
-func (r *managedCluster) deactivate(since time.Duration) bool {
-	if !r.unused(since) {
+func (m *managedCluster) deactivate(since time.Duration) bool {
+	if !m.unused(since) {
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t := r.active.Load()
-	if t == nil || r.retired.Load() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.active.Load()
+	if t == nil || m.retired.Load() {
 		return false
 	}
-	taken := r.takeSnapshots()
+	taken := m.takeSnapshots()
 	// A request increments inFlight before it reads active. So a concurrent request is either counted by unused below, or
-	// finds the cluster idle and waits for r.mu to activate the cluster again.
-	r.active.Store(nil)
-	if !r.unused(since) {
-		r.active.Store(t)
+	// finds the cluster idle and waits for m.mu to activate the cluster again.
+	m.active.Store(nil)
+	if !m.unused(since) {
+		m.active.Store(t)
 		return false
 	}
-	r.snapshots = taken
-	for key, t := range r.tiers {
-		delete(r.tiers, key)
+	m.snapshots = taken
+	for key, t := range m.tiers {
+		delete(m.tiers, key)
 		t.engine.Retire()
 	}
 	return true
@@ -63,8 +63,8 @@
 
 // unused reports whether the cluster has had no request since a time on the app's clock and has no open stream with
 // timeouts.
-func (r *managedCluster) unused(since time.Duration) bool {
-	return r.inFlight.Load() == 0 && time.Duration(r.lastUsed.Load()) < since && r.streams.count() == 0
+func (m *managedCluster) unused(since time.Duration) bool {
+	return m.inFlight.Load() == 0 && time.Duration(m.lastUsed.Load()) < since && m.streams.count() == 0
 }
 
 // idleAfter returns how long the clusters of a state stay active without requests. This is at least long enough for
--- a/internal/app/managedcluster.go
+++ b/internal/app/managedcluster.go
@@ -73,68 +73,68 @@
 
 // update sets the cluster's configuration, which was delivered at a time on the app's clock. The engines of an idle
 // cluster get the configuration when the cluster is activated.
-func (r *managedCluster) update(deliveredAt time.Duration, c *cluster.Config) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if c == r.current {
+func (m *managedCluster) update(deliveredAt time.Duration, c *cluster.Config) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c == m.current {
 		return
 	}
-	r.current = c
-	if r.active.Load() != nil {
-		r.updateTiers(deliveredAt)
+	m.current = c
+	if m.active.Load() != nil {
+		m.updateTiers(deliveredAt)
 	}
 }
 
 // retire removes the cluster's endpoints as of a time on the app's clock, and ends the cluster once its requests in flight
 // have ended.
-func (r *managedCluster) retire(deliveredAt time.Duration) {
-	r.retired.Store(true)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, t := range r.tiers {
-		r.retireTier(deliveredAt, t)
+func (m *managedCluster) retire(deliveredAt time.Duration) {
+	m.retired.Store(true)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range m.tiers {
+		m.retireTier(deliveredAt, t)
 	}
-	if len(r.tiers) == 0 {
-		r.stop()
+	if len(m.tiers) == 0 {
+		m.stop()
 		return
 	}
-	ending := slices.Collect(maps.Values(r.tiers))
-	r.app.background.Go(func() {
+	ending := slices.Collect(maps.Values(m.tiers))
+	m.app.background.Go(func() {
 		for _, t := range ending {
 			<-t.engine.Ended()
 		}
-		r.stop()
+		m.stop()
 	})
 }
 
-// retireTier removes a tier's endpoints, and ends the tier's engine once its requests have ended. The caller holds r.mu.
-func (r *managedCluster) retireTier(deliveredAt time.Duration, t *tier) {
+// retireTier removes a tier's endpoints, and ends the tier's engine once its requests have ended. The caller holds m.mu.
+func (m *managedCluster) retireTier(deliveredAt time.Duration, t *tier) {
 	t.engine.UpdateEndpointsAt(deliveredAt, policy.FullUpdate, nil)
 	t.engine.Retire()
-	r.streams.drain(deliveredAt, t.endpoints())
+	m.streams.drain(deliveredAt, t.endpoints())
 }
 
 // abortRequests makes the engines answer the requests in flight, and all later ones, at once.
-func (r *managedCluster) abortRequests() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.aborted = true
-	for _, t := range r.tiers {
+func (m *managedCluster) abortRequests() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.aborted = true
+	for _, t := range m.tiers {
 		t.engine.Abort()
 	}
 }
 
 // wait waits for the end of all engines. The caller must have canceled the engines' context or a parent of that context.
-func (r *managedCluster) wait() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, t := range r.tiers {
+func (m *managedCluster) wait() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range m.tiers {
 		<-t.engine.Ended()
 	}
 }
 
 // discard ends a cluster that has never been part of a stored state.
-func (r *managedCluster) discard() {
-	r.stop()
-	r.wait()
+func (m *managedCluster) discard() {
+	m.stop()
+	m.wait()
 }
--- a/internal/app/sender.go
+++ b/internal/app/sender.go
@@ -9,7 +9,7 @@
 	"yokestall/policy"
 )
 
-// sender sends a tier's attempts. It uses the tier's upstream pool, or the payload's own Carry method if another program
+// sender sends a tier's attempts. It uses the tier's upstream pool, or the payload's own SendAttempt method if another program
 // sends the request (external processing).
 type sender struct {
 	pool upstreamPool
@@ -20,7 +20,7 @@
 
 // sendingPayload is a request payload that sends its attempts itself.
 type sendingPayload interface {
-	Carry(call *engine.Call, address string, timeRemaining time.Duration) engine.Result
+	SendAttempt(call *engine.Call, address string, timeRemaining time.Duration) engine.Result
 }
 
 // Exchange implements engine.Exchanger.
@@ -37,7 +37,7 @@
 	if !known { // the endpoint was removed after the policy chose it
 		return engine.Result{Status: policy.NeverSent}
 	}
-	return p.Carry(call, address, timeRemaining)
+	return p.SendAttempt(call, address, timeRemaining)
 }
 
 // update applies changed and removed endpoints to the addresses.
--- a/internal/app/snapshots.go
+++ b/internal/app/snapshots.go
@@ -22,15 +22,15 @@
 }
 
 // takeSnapshots returns snapshots of the running engines, or the cached snapshots if the cluster is idle. The caller holds
-// r.mu.
-func (r *managedCluster) takeSnapshots() *snapshots {
-	if len(r.tiers) == 0 {
-		return r.snapshots
+// m.mu.
+func (m *managedCluster) takeSnapshots() *snapshots {
+	if len(m.tiers) == 0 {
+		return m.snapshots
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(m.ctx, snapshotTimeout)
 	defer cancel()
-	s := &snapshots{takenAt: time.Now(), classes: r.classes, tiers: map[priority.Key]policy.Snapshot{}}
-	for key, t := range r.tiers {
+	s := &snapshots{takenAt: time.Now(), classes: m.classes, tiers: map[priority.Key]policy.Snapshot{}}
+	for key, t := range m.tiers {
 		if k, err := t.engine.Snapshot(ctx); err == nil {
 			s.tiers[key] = k
 		}
@@ -40,34 +40,34 @@
 
 // inheritSnapshots takes over the snapshots of the predecessor, which had other settings. The capacity and health of
 // endpoints do not depend on the settings.
-func (r *managedCluster) inheritSnapshots(from *managedCluster) {
+func (m *managedCluster) inheritSnapshots(from *managedCluster) {
 	from.mu.Lock()
 	taken := from.takeSnapshots()
 	from.mu.Unlock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.active.Load() == nil { // the engines of an active cluster have newer state of their own
-		r.snapshots = taken
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.active.Load() == nil { // the engines of an active cluster have newer state of their own
+		m.snapshots = taken
 	}
 }
 
-// restoreSnapshot restores the cached snapshot of a tier that was just started, if there is one. The caller holds r.mu.
-func (r *managedCluster) restoreSnapshot(key priority.Key, t *tier) {
-	if r.snapshots == nil {
+// restoreSnapshot restores the cached snapshot of a tier that was just started, if there is one. The caller holds m.mu.
+func (m *managedCluster) restoreSnapshot(key priority.Key, t *tier) {
+	if m.snapshots == nil {
 		return
 	}
-	cached, ok := r.snapshots.tiers[key]
+	cached, ok := m.snapshots.tiers[key]
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(m.ctx, snapshotTimeout)
 	defer cancel()
 	initial, err := t.engine.Snapshot(ctx)
 	if err != nil {
 		return
 	}
-	cached.Classes = reorderClasses(cached.Classes, initial.Classes, r.snapshots.classes, r.classes)
-	t.engine.Restore(cached, time.Since(r.snapshots.takenAt))
+	cached.Classes = reorderClasses(cached.Classes, initial.Classes, m.snapshots.classes, m.classes)
+	t.engine.Restore(cached, time.Since(m.snapshots.takenAt))
 }
 
 // reorderClasses returns the cached class snapshots in the order of the new classes, matched by name. A class without a
--- a/internal/app/tiers.go
+++ b/internal/app/tiers.go
@@ -45,16 +45,16 @@
 	_ upstreamPool = (*h2client.Pool)(nil)
 )
 
-// tier returns the tier with key k, and starts the tier if it is not running. The caller holds r.mu.
-func (r *managedCluster) tier(k priority.Key) (*tier, error) {
-	if t := r.tiers[k]; t != nil {
+// tier returns the tier with key k, and starts the tier if it is not running. The caller holds m.mu.
+func (m *managedCluster) tier(k priority.Key) (*tier, error) {
+	if t := m.tiers[k]; t != nil {
 		return t, nil
 	}
-	a := r.app
-	pool := r.newPool()
+	a := m.app
+	pool := m.newPool()
 	s := &sender{pool: pool, addresses: map[policy.EndpointID]string{}}
-	ctx, stop := context.WithCancel(r.ctx)
-	e, err := engine.New(ctx, *r.settings, s, r.engineOptions())
+	ctx, stop := context.WithCancel(m.ctx)
+	e, err := engine.New(ctx, *m.settings, s, m.engineOptions())
 	if err != nil {
 		stop()
 		return nil, err
@@ -66,77 +66,77 @@
 		stop()
 	})
 	t := &tier{engine: e, pool: pool, sender: s}
-	r.tiers[k] = t
+	m.tiers[k] = t
 	return t, nil
 }
 
 // newPool returns a pool of upstream connections for the cluster's protocol.
-func (r *managedCluster) newPool() upstreamPool {
+func (m *managedCluster) newPool() upstreamPool {
 	o := h1client.Options{
-		EndpointIdleTimeout: r.upstream.Idle, ConnectTimeout: r.upstream.ConnectTimeout,
-		MaxConnections: r.upstream.Connections,
-		AnyStatus:      true, TLS: r.tls,
+		EndpointIdleTimeout: m.upstream.Idle, ConnectTimeout: m.upstream.ConnectTimeout,
+		MaxConnections: m.upstream.Connections,
+		AnyStatus:      true, TLS: m.tls,
 	}
-	if r.transport.HTTP2 {
+	if m.transport.HTTP2 {
 		return h2client.New(o)
 	}
 	return h1client.New(o)
 }
 
-func (r *managedCluster) engineOptions() engine.Options {
-	a := r.app
+func (m *managedCluster) engineOptions() engine.Options {
+	a := m.app
 	o := engine.Options{Seed: a.Seed, Clock: a.clock, EventQueue: tierEventQueue}
 	if a.OnSend != nil {
-		o.OnSend = func(id policy.EndpointID, at time.Duration) { a.OnSend(r.name, uint64(id), a.clock.Wall(at)) }
+		o.OnSend = func(id policy.EndpointID, at time.Duration) { a.OnSend(m.name, uint64(id), a.clock.Wall(at)) }
 	}
 	return o
 }
 
 // updateTiers applies the cluster's current configuration to its tiers, as of a time on the app's clock. Tiers that are
-// not running are started, and tiers that the configuration no longer has are retired. The caller holds r.mu.
-func (r *managedCluster) updateTiers(deliveredAt time.Duration) *tiers {
-	next := &tiers{plan: priority.New(r.current, r.slowStart()), limits: r.current.Limits}
+// not running are started, and tiers that the configuration no longer has are retired. The caller holds m.mu.
+func (m *managedCluster) updateTiers(deliveredAt time.Duration) *tiers {
+	next := &tiers{plan: priority.New(m.current, m.slowStart()), limits: m.current.Limits}
 	used := map[*tier]bool{}
 	for i := range next.plan.Tiers {
-		t, err := r.tier(next.plan.Tiers[i].Key)
+		t, err := m.tier(next.plan.Tiers[i].Key)
 		if err != nil { // impossible: the settings were checked when the version was applied
-			panic(fmt.Sprintf("cluster %s: %v", r.name, err))
+			panic(fmt.Sprintf("cluster %s: %v", m.name, err))
 		}
 		used[t] = true
 		next.list = append(next.list, t)
 	}
-	r.applyLimits(&next.limits)
+	m.applyLimits(&next.limits)
 	for i, t := range next.list {
-		t.update(r.app.clock, deliveredAt, next.plan.Tiers[i].Cluster, r.streams)
-		r.restoreSnapshot(next.plan.Tiers[i].Key, t)
+		t.update(m.app.clock, deliveredAt, next.plan.Tiers[i].Cluster, m.streams)
+		m.restoreSnapshot(next.plan.Tiers[i].Key, t)
 	}
-	r.snapshots = nil
+	m.snapshots = nil
 	// The new tiers are stored before the old ones lose their endpoints, since requests in between would be rejected.
-	r.active.Store(next)
-	for k, t := range r.tiers {
+	m.active.Store(next)
+	for k, t := range m.tiers {
 		if !used[t] {
-			delete(r.tiers, k)
-			r.retireTier(deliveredAt, t)
+			delete(m.tiers, k)
+			m.retireTier(deliveredAt, t)
 		}
 	}
 	return next
 }
 
-func (r *managedCluster) slowStart() priority.SlowStart {
-	rules := &r.settings.Rules
+func (m *managedCluster) slowStart() priority.SlowStart {
+	rules := &m.settings.Rules
 	return priority.SlowStart{MinCapacity: rules.SlowStartMinCapacity, Window: rules.SlowStartWindow}
 }
 
-// applyLimits sets the limits of the pools and engines of all tiers. The caller holds r.mu.
-func (r *managedCluster) applyLimits(limits *cluster.Limits) {
-	connectTimeout, maxOpen := r.upstream.ConnectTimeout, r.upstream.Connections
+// applyLimits sets the limits of the pools and engines of all tiers. The caller holds m.mu.
+func (m *managedCluster) applyLimits(limits *cluster.Limits) {
+	connectTimeout, maxOpen := m.upstream.ConnectTimeout, m.upstream.Connections
 	if limits.ConnectTimeout > 0 {
 		connectTimeout = limits.ConnectTimeout
 	}
 	if limits.MaxConnections > 0 {
 		maxOpen = min(maxOpen, limits.MaxConnections)
 	}
-	for _, t := range r.tiers {
+	for _, t := range m.tiers {
 		t.pool.SetLimits(connectTimeout, maxOpen)
 		t.engine.LimitRetries(limits.MaxRetries)
 	}
--- a/internal/downstream/extproc/pickrequest.go
+++ b/internal/downstream/extproc/pickrequest.go
@@ -29,7 +29,7 @@
 	// is the request's last one, because no stream would be opened for another endpoint.
 	reportsRetries   bool
 	repeatIsHarmless bool                 // see ingress.Destination
-	endpoints        chan *pickedEndpoint // passes an attempt's endpoint from Carry to a waiting stream
+	endpoints        chan *pickedEndpoint // passes an attempt's endpoint from SendAttempt to a waiting stream
 
 	done   chan struct{} // closed once the engine has answered
 	answer engine.Answer // the engine's answer; set before done is closed
@@ -66,10 +66,10 @@
 // SelfTimed implements engine.SelfTimedPayload, because a caller has timeouts of its own.
 func (*pickRequest) SelfTimed() {}
 
-// Carry makes an attempt: it passes the endpoint to a stream, which names it to the caller, and returns the outcome that
+// SendAttempt makes an attempt: it passes the endpoint to a stream, which names it to the caller, and returns the outcome that
 // the caller reports. If no stream takes the endpoint within RetryStreamTimeout, the attempt was never sent, and it is
 // the request's last one.
-func (r *pickRequest) Carry(call *engine.Call, address string, _ time.Duration) engine.Result {
+func (r *pickRequest) SendAttempt(call *engine.Call, address string, _ time.Duration) engine.Result {
 	e := &pickedEndpoint{call: call, address: address, outcome: make(chan policy.Status, 1)}
 	stopped := make(chan struct{})
 	call.OnStop(func() { close(stopped) })
@@ -148,7 +148,7 @@
 	defer r.cancel()
 	answer, err := c.Do(ctx, q)
 	r.mu.Lock()
-	mayHaveRun := r.mayHaveRun || r.attemptPending // Carry may not have noticed yet that the deadline has passed
+	mayHaveRun := r.mayHaveRun || r.attemptPending // SendAttempt may not have noticed yet that the deadline has passed
 	r.mu.Unlock()
 	switch {
 	case err == nil && answer.Verdict == engine.Served:
--- a/internal/fake/controlplane/stream.go
+++ b/internal/fake/controlplane/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/genproto/googleapis/rpc/status"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -46,6 +47,18 @@
 
 func (s *subscription) includes(name string) bool { return s.all || s.names[name] }
 
+// discoveryRequest is a request of either variant.
+type discoveryRequest interface {
+	GetTypeUrl() string
+	GetResponseNonce() string
+	GetErrorDetail() *status.Status
+}
+
+// newRequest returns a request with the fields that both variants have.
+func newRequest(r discoveryRequest) *request {
+	return &request{url: r.GetTypeUrl(), nonce: r.GetResponseNonce(), errorDetail: r.GetErrorDetail().GetMessage()}
+}
+
 // StreamAggregatedResources implements the state-of-the-world variant.
 func (p *Server) StreamAggregatedResources(
 	s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer,
@@ -55,13 +68,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return &request{
-			url:         r.GetTypeUrl(),
-			nonce:       r.GetResponseNonce(),
-			errorDetail: r.GetErrorDetail().GetMessage(),
-			version:     r.GetVersionInfo(),
-			names:       r.GetResourceNames(),
-		}, nil
+		q := newRequest(r)
+		q.version, q.names = r.GetVersionInfo(), r.GetResourceNames()
+		return q, nil
 	}
 	send := func(m proto.Message) error { return s.SendMsg(m) }
 	return (&stream{server: p, receive: receive, send: send}).serve(s.Context())
@@ -76,14 +85,10 @@
 		if err != nil {
 			return nil, err
 		}
-		return &request{
-			url:         r.GetTypeUrl(),
-			nonce:       r.GetResponseNonce(),
-			errorDetail: r.GetErrorDetail().GetMessage(),
-			subscribe:   r.GetResourceNamesSubscribe(),
-			unsubscribe: r.GetResourceNamesUnsubscribe(),
-			initial:     r.GetInitialResourceVersions(),
-		}, nil
+		q := newRequest(r)
+		q.subscribe, q.unsubscribe = r.GetResourceNamesSubscribe(), r.GetResourceNamesUnsubscribe()
+		q.initial = r.GetInitialResourceVersions()
+		return q, nil
 	}
 	send := func(m proto.Message) error { return s.SendMsg(m) }
 	return (&stream{server: p, delta: true, receive: receive, send: send}).serve(s.Context())
