Look into the TLS layer for a second answer before a connection is reused

Change: conn.quiet also asks the TLS layer, by a read whose deadline is over: it returns what is buffered and takes nothing from the socket.

--- a/internal/upstream/h1client/conn.go
+++ b/internal/upstream/h1client/conn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -12,6 +13,9 @@
 // errTooLarge is the error of reading an answer that exceeds conn.readBudget.
 var errTooLarge = errors.New("h1client: the endpoint's answer exceeds the size limit")
 
+// expiredDeadline is a read deadline that lets a Read return only what is buffered.
+var expiredDeadline = time.Unix(1, 0)
+
 // conn is a connection to an endpoint. At any time, it is either idle or used by one attempt, stream or tunnel.
 type conn struct {
 	net.Conn
@@ -31,6 +35,7 @@
 	exchangeTime  time.Duration // duration of the latest complete exchange
 
 	tls     bool            // uses TLS: a new connection may have session tickets to read (RFC 8446, 4.6.1)
+	probe   [1]byte         // receives what bufferedByTLS reads
 	rawConn syscall.RawConn // nil if the connection gives no access to its socket
 	empty   bool            // result of checkEmpty
 	// The functions below are fields so that they are allocated once per connection.
@@ -81,6 +86,25 @@
 	c.transferDeadlineSet = true
 }
 
+// quiet reports whether the connection is open and nothing has come from the endpoint that was not read: neither data, nor
+// the endpoint's close, nor an error. A connection that is not quiet can't be used for a request.
+func (c *conn) quiet() bool {
+	if !c.tls {
+		return c.nothingToRead()
+	}
+	// A new connection may have session tickets to read.
+	return !c.reused || c.nothingToRead() && !c.bufferedByTLS()
+}
+
+// bufferedByTLS reports whether the TLS layer holds data that it has read from the socket and not returned yet, or has met
+// the endpoint's close or an error. It reads nothing from the socket. No read deadline may be set.
+func (c *conn) bufferedByTLS() bool {
+	c.SetReadDeadline(expiredDeadline)
+	defer c.SetReadDeadline(time.Time{})
+	n, err := c.Conn.Read(c.probe[:])
+	return n > 0 || !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // nothingToRead does the same as NothingToRead, without allocations.
 func (c *conn) nothingToRead() bool {
 	return c.rawConn != nil && c.rawConn.Control(c.checkEmpty) == nil && c.empty
--- a/internal/upstream/h1client/exchange.go
+++ b/internal/upstream/h1client/exchange.go
@@ -20,7 +20,7 @@
 			return engine.Result{Status: status}
 		}
 		c.requestBuffer = r.appendTo(c.requestBuffer[:0], remaining-time.Since(start))
-		if (c.reused || !c.tls) && !c.nothingToRead() { // the endpoint closed it or sent data
+		if !c.quiet() { // the endpoint closed it or sent data
 			p.release(c, false)
 			if c.reused {
 				continue
