Take 504 for a refusal only with X-Not-Processed, and no other status

Cause: Answer.Refuses took X-Not-Processed: 1 on any status for a refusal, so that a 200 with the field could have failed a request that had been served. No one takes such an answer for a refusal.

Change: 429, 503, and 504 with X-Not-Processed: 1, as FailureStatus reads them.

Measured: TestRefuses is new; its rows of 200 and 500 failed before.

--- a/internal/upstream/h1client/answer.go
+++ b/internal/upstream/h1client/answer.go
@@ -58,18 +58,26 @@
 
 var _ engine.Refuser = (*Answer)(nil)
 
-// Refuses implements engine.Refuser. By the platform's protocol, a client may send a request again after status 429 or 503;
-// X-Not-Processed: 1 says that the request has not run.
+// notProcessed is the header field, with the value 1, by which an endpoint states that it did not process the request.
+const notProcessed = "X-Not-Processed"
+
+// Refuses implements engine.Refuser. By the platform's protocol, a client may send a request again after status 429 or 503,
+// and a proxy may after status 504 with X-Not-Processed: 1.
 func (a *Answer) Refuses() bool {
-	return a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable ||
-		a.Header.Get("X-Not-Processed") == "1"
+	switch a.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	case http.StatusGatewayTimeout:
+		return a.Header.Get(notProcessed) == "1"
+	}
+	return false
 }
 
 // FailureStatus returns the status of an attempt whose answer is a failure: policy.Rejected if the endpoint states, with
 // status 503 or 504 and X-Not-Processed: 1, that it did not process the request, and policy.ErrorResponse otherwise.
 func FailureStatus(resp *http.Response) policy.Status {
 	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Not-Processed") == "1" {
+		resp.Header.Get(notProcessed) == "1" {
 		return policy.Rejected
 	}
 	return policy.ErrorResponse
--- a/internal/upstream/h1client/answer_test.go
+++ b/internal/upstream/h1client/answer_test.go
@@ -305,3 +305,23 @@
 		t.Errorf("result: got %+v, want status OK with an answer of status 404", res)
 	}
 }
+
+// An answer refuses a request exactly if its receiver may take the request for one that was not run.
+func TestRefuses(t *testing.T) {
+	for _, tc := range []struct {
+		status       int
+		notProcessed string
+		want         bool
+	}{
+		{429, "", true}, {503, "", true}, {503, "1", true}, {504, "1", true},
+		{504, "", false}, {504, "0", false}, {200, "1", false}, {500, "1", false}, {502, "", false},
+	} {
+		a := &Answer{Status: tc.status, Header: http.Header{}}
+		if tc.notProcessed != "" {
+			a.Header.Set("X-Not-Processed", tc.notProcessed)
+		}
+		if got := a.Refuses(); got != tc.want {
+			t.Errorf("status %d with X-Not-Processed %q: got %v, want %v", tc.status, tc.notProcessed, got, tc.want)
+		}
+	}
+}
