--- a/internal/downstream/extproc/pickoutcome.go
+++ b/internal/downstream/extproc/pickoutcome.go
@@ -73,11 +73,7 @@
 	if r.mayHaveRun { // at an earlier attempt
 		return false
 	}
-	switch status {
-	case policy.OK, policy.Rejected, policy.ConnectFailed, policy.NeverSent:
-		return true
-	}
-	return false
+	return status == policy.OK || status.NeverRan()
 }
 
 // parseResponse returns the status and the header fields of the message's response headers.
--- a/internal/downstream/extproc/pickrequest.go
+++ b/internal/downstream/extproc/pickrequest.go
@@ -117,8 +117,7 @@
 	e.reported = true
 	e.outcome <- status
 	r.attemptPending = false
-	sent := status != policy.ConnectFailed && status != policy.Rejected && status != policy.NeverSent
-	r.mayHaveRun = r.mayHaveRun || sent
+	r.mayHaveRun = r.mayHaveRun || !status.NeverRan()
 }
 
 // addStream adds a stream that waits for an endpoint if the stream is for a retry by the caller, and reports whether it
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -216,11 +216,8 @@
 
 // mayHaveRun reports whether the attempt was sent and may have run at its endpoint, or may yet run.
 func (a *attempt) mayHaveRun() bool {
-	if a.reported {
-		switch a.status {
-		case policy.Rejected, policy.ConnectFailed, policy.NeverSent:
-			return false
-		}
+	if a.reported && a.status.NeverRan() {
+		return false
 	}
 	return a.gate.passed()
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -67,6 +67,9 @@
 	NeverSent                   // the attempt was withdrawn before its first byte; the request has not run
 )
 
+// NeverRan reports whether the endpoint has not run the request and will not.
+func (s Status) NeverRan() bool { return s == Rejected || s == ConnectFailed || s == NeverSent }
+
 // Outcome reports the end of one attempt. The host delivers one Outcome for each Host.Send.
 type Outcome struct {
 	ID          RequestID
--- a/policy/request.go
+++ b/policy/request.go
@@ -159,7 +159,7 @@
 func (b *Balancer) endAttempt(r *request, a *attempt, o Outcome) {
 	b.recordRetryOutcome(o)
 	a.inFlight = false
-	a.neverRan = o.Status == Rejected || o.Status == ConnectFailed || o.Status == NeverSent
+	a.neverRan = o.Status.NeverRan()
 	r.inFlight--
 	if !a.excludedFromLoad {
 		b.concurrency.inFlight--
