Count a replaced 429 of a picked endpoint as failed and not as served

Cause: where the external processor replaces a 429 by 502, it still reported the attempt as answered: the request counted as served and as failed, and its repeat was told that it had been answered. Change: such an attempt counts as given up, neither for nor against the endpoint. Measured: the new check of TestPickedEndpointRefusesWhatMayHaveRun failed before (1 request counted as served) and passes now.

--- a/internal/downstream/extproc/pickoutcome.go
+++ b/internal/downstream/extproc/pickoutcome.go
@@ -36,11 +36,10 @@
 				return err
 			}
 			status := p.outcome(e, response)
-			untrue := response.Refuses() && !r.refusalAllowed(status)
-			r.reportOutcome(e, status)
-			if untrue {
-				return p.sendFailure()
+			if response.Refuses() && !r.refusalAllowed(status) {
+				return p.replaceRefusal(r, e, status)
 			}
+			r.reportOutcome(e, status)
 			p.applyResponseEdits(reply, response)
 		case ResponseBody, ResponseTrailers:
 			r.reportOutcome(e, policy.OK) // no effect unless the headers were skipped (response_header_mode SKIP)
@@ -76,6 +75,16 @@
 	return status == policy.OK || status.NeverRan()
 }
 
+// replaceRefusal reports the attempt's outcome and answers the request with 502 in place of the response. A refusal that
+// would count as an answer (status 429) counts neither for nor against the endpoint, since the request was not served.
+func (p *processingStream) replaceRefusal(r *pickRequest, e *pickedEndpoint, status policy.Status) error {
+	if status == policy.OK {
+		status = policy.Cancelled
+	}
+	r.reportOutcome(e, status)
+	return p.sendFailure()
+}
+
 // parseResponse returns the status and the header fields of the message's response headers.
 func (p *processingStream) parseResponse() (*h1client.Answer, error) {
 	h, err := parseHeaders(p.message.GetResponseHeaders().GetHeaders(), p.server.MaxHeaderBytes)
--- a/internal/downstream/extproc/refusals_test.go
+++ b/internal/downstream/extproc/refusals_test.go
@@ -66,6 +66,9 @@
 				t.Errorf("reply to the last response: immediate response with status %d; replaced by 502: %v, want %v", code, replaced, tc.replaced)
 			}
 			r.awaitIdle()
+			if served := r.server.Stats.Served.Load(); tc.replaced && served != 0 {
+				t.Errorf("%d requests count as served, want none", served)
+			}
 		})
 	}
 }
