End the wait for the reuse delay with the attempt

Cause: an attempt that waited for its connection's reuse delay slept, up to 20 ms, whether or not it had been given up meanwhile. Change: the wait ends with the call; nothing is sent, and the connection stays idle. Measured: TestReuseDelayEndsWithCall, whose delay is an hour, passes; with a sleep it would not end.

--- a/internal/upstream/h1client/dial.go
+++ b/internal/upstream/h1client/dial.go
@@ -13,11 +13,14 @@
 // connect returns an idle or a new connection to an endpoint. If there is none, it returns nil and the attempt's status.
 func (p *Pool) connect(call *engine.Call, id policy.EndpointID) (*conn, policy.Status) {
 	c, e, status := p.acquire(id)
-	if c != nil || status != policy.OK {
-		if c != nil {
-			p.awaitReuseDelay(c)
-		}
-		return c, status
+	switch {
+	case status != policy.OK:
+		return nil, status
+	case c != nil && !p.awaitReuseDelay(call, c):
+		p.release(c, true)
+		return nil, policy.NeverSent
+	case c != nil:
+		return c, policy.OK
 	}
 	p.mu.Lock()
 	timeout := p.connectTimeout
--- a/internal/upstream/h1client/idleconns.go
+++ b/internal/upstream/h1client/idleconns.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"yokestall/internal/engine"
 	"yokestall/internal/keepalive"
 	"yokestall/policy"
 )
@@ -157,8 +158,22 @@
 	return c
 }
 
-// awaitReuseDelay waits until the reuse delay of a connection that acquire has returned is over.
-func (p *Pool) awaitReuseDelay(c *conn) { time.Sleep(p.reuseDelay - time.Since(c.idleSince)) }
+// awaitReuseDelay waits until the reuse delay of a connection that acquire has returned is over. It returns false if the
+// call is stopped before.
+func (p *Pool) awaitReuseDelay(call *engine.Call, c *conn) bool {
+	rest := p.reuseDelay - time.Since(c.idleSince)
+	if rest <= 0 {
+		return true
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-call.Context().Done():
+		return false
+	}
+}
 
 // evictOldest closes the connection that has been idle for longest, of all endpoints. It returns false if none is idle.
 // p.mu must be locked.
--- a/internal/upstream/h1client/idleconns_test.go
+++ b/internal/upstream/h1client/idleconns_test.go
@@ -84,6 +84,22 @@
 	}
 }
 
+// An attempt that is abandoned while it waits for the reuse delay is not sent, and its connection stays idle.
+func TestReuseDelayEndsWithCall(t *testing.T) {
+	addr, requests := startBackend(t, testutil.OK)
+	p, id := poolTo(addr)
+	send(t.Context(), p, id)
+	p.reuseDelay, p.reuseWaitThreshold = time.Hour, 0
+	ctx, abandon := context.WithCancel(t.Context())
+	time.AfterFunc(time.Millisecond, abandon)
+	if status, _ := send(ctx, p, id); status != policy.NeverSent {
+		t.Errorf("abandoned attempt: got status %d, want NeverSent", status)
+	}
+	if len(requests) != 1 || p.OpenConnections() != 1 {
+		t.Errorf("got %d requests and %d open connections, want 1 of each", len(requests), p.OpenConnections())
+	}
+}
+
 // At a high rate of requests, more connections are within the reuse delay than an endpoint may have idle ones. They are
 // kept, or each request would open a new connection; once the delay is over, those beyond the limit are closed.
 func TestReuseDelayAtHighRates(t *testing.T) {
