Wait for the second copy over TLS by an event

Cause: both TLS tests slept 40 ms between requests for the reuse delay. Change: they have no delay, as the other tests of the pool, and wait until the copy was written.

--- a/internal/upstream/h1client/tlsreuse_test.go
+++ b/internal/upstream/h1client/tlsreuse_test.go
@@ -19,6 +19,7 @@
 // that came right behind it was read from the socket together with the answer, and was taken for the next one.
 func TestDuplicateAnswerBehindAnswerOverTLS(t *testing.T) {
 	var requests atomic.Int64
+	copied := make(chan struct{}, 20)
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		nc, in, err := w.(http.Hijacker).Hijack()
@@ -31,6 +32,7 @@
 			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n%02d", requests.Add(1))
 			io.WriteString(nc, answer) // a TLS record each
 			io.WriteString(nc, answer)
+			copied <- struct{}{}
 			next, err := http.ReadRequest(in.Reader)
 			if err != nil {
 				return
@@ -45,7 +47,7 @@
 		if status, body := send(t.Context(), p, 1); status != policy.OK || body != want {
 			t.Errorf("attempt %d: got status %d and body %q, want OK and %q", n, status, body, want)
 		}
-		time.Sleep(2 * ReuseDelay) // the connection may be used again
+		testutil.Wait(t, copied, "the second copy")
 	}
 	p.UpdateEndpoints(true, nil)
 }
@@ -63,7 +65,6 @@
 		if status, body := send(t.Context(), p, 1); status != policy.OK || body != "done" {
 			t.Errorf("attempt %d: got status %d and body %q, want OK and \"done\"", n, status, body)
 		}
-		time.Sleep(2 * ReuseDelay) // the connection may be used again
 	}
 	if len(remoteAddrs) != 1 {
 		t.Errorf("20 requests: got %d connections, want 1", len(remoteAddrs))
@@ -71,7 +72,7 @@
 	p.UpdateEndpoints(true, nil)
 }
 
-// poolOverTLS returns a pool whose endpoint 1 is the server.
+// poolOverTLS returns a pool whose endpoint 1 is the server. The pool has no reuse delay.
 func poolOverTLS(server *httptest.Server) *Pool {
 	roots := x509.NewCertPool()
 	roots.AddCert(server.Certificate())
@@ -79,6 +80,7 @@
 		EndpointIdleTimeout: 15 * time.Second, ConnectTimeout: testutil.WaitTimeout, MaxConnections: 10,
 		TLS: &tls.Config{RootCAs: roots, ServerName: "example.com"},
 	})
+	p.reuseDelay = 0
 	p.UpdateEndpoints(true, []Endpoint{{ID: 1, Address: server.Listener.Addr().String()}})
 	return p
 }
