--- a/internal/app/clusterrequest.go
+++ b/internal/app/clusterrequest.go
@@ -73,7 +73,8 @@
 		Deadline: request.Deadline, UploadTimeout: request.UploadTimeout, Payload: request.Payload,
 		MaxAttempts: request.MaxAttempts, PerTryTimeout: request.PerTryTimeout,
 		OnLateAnswer: request.OnLateAnswer, LateAnswerTimeout: request.LateAnswerTimeout,
-		SendAllowed: request.SendAllowed, SendRetryAfter: request.SendRetryAfter, ClientDisconnected: request.ClientDisconnected,
+		SendAllowed: request.SendAllowed, SendRetryAfter: request.SendRetryAfter,
+		ClientDisconnected: request.ClientDisconnected,
 	}, true
 }
 
@@ -106,7 +107,8 @@
 	}
 	if err == nil && a.Verdict == engine.Served {
 		if o, ok := request.Payload.(*h1client.Request); ok {
-			m.streams.limit(a, streamtimeout.Limits{MaxDuration: o.Limits.MaxDuration, DrainTimeout: o.Limits.DrainTimeout})
+			limits := streamtimeout.Limits{MaxDuration: o.Limits.MaxDuration, DrainTimeout: o.Limits.DrainTimeout}
+			m.streams.limit(a, limits)
 		}
 	}
 	return a, err
--- a/internal/app/lateduplicates_test.go
+++ b/internal/app/lateduplicates_test.go
@@ -25,8 +25,8 @@
 	maxDuplicateDelay = h1client.ReuseDelay / 2
 )
 
-// Guards against answers that reach the clients of other requests (docs/incidents/0001): a connection was used again 1 ms
-// after an answer, and a second copy of that answer, which came milliseconds later, was taken for the next one.
+// Guards against answers that reach the clients of other requests (docs/incidents/0001): a connection was used again
+// 1 ms after an answer, and a second copy of that answer, which came milliseconds later, was taken for the next one.
 func TestLateDuplicateAnswers(t *testing.T) {
 	for name, downstream := range map[string]webpeer.Protocol{"http1": {}, "http2": {HTTP2: true}} {
 		t.Run(name, func(t *testing.T) {
@@ -65,12 +65,12 @@
 	}
 }
 
-// duplicatingServer answers each request with the request's id, and sends a second copy of the answer duplicateDelay later,
-// as a server does that is so far away that it has not received the next request by then.
+// duplicatingServer answers each request with the request's id, and sends a second copy of the answer duplicateDelay
+// later, as a server does that is so far away that it has not received the next request by then.
 type duplicatingServer struct {
 	duplicates atomic.Int64
-	// late has the ids whose second copy was sent after h1client.ReuseDelay because the server was held up. Nothing follows
-	// such a copy on its connection.
+	// late has the ids whose second copy was sent after h1client.ReuseDelay because the server was held up. Nothing
+	// follows such a copy on its connection.
 	late sync.Map
 }
 
--- a/internal/app/managedcluster.go
+++ b/internal/app/managedcluster.go
@@ -107,7 +107,8 @@
 	})
 }
 
-// retireTier removes a tier's endpoints, and ends the tier's engine once its requests have ended. The caller holds m.mu.
+// retireTier removes a tier's endpoints, and ends the tier's engine once its requests have ended. The caller holds
+// m.mu.
 func (m *managedCluster) retireTier(deliveredAt time.Duration, t *tier) {
 	t.engine.UpdateEndpointsAt(deliveredAt, policy.FullUpdate, nil)
 	t.engine.Retire()
--- a/internal/app/refusals_test.go
+++ b/internal/app/refusals_test.go
@@ -12,8 +12,8 @@
 	"yokestall/internal/testutil"
 )
 
-// Guards against refusals of requests that may have run (docs/incidents/0002): a server turned a request away, the next one
-// took it and broke off, and the client got the first server's 503 with X-Not-Processed: 1.
+// Guards against refusals of requests that may have run (docs/incidents/0002): a server turned a request away, the next
+// one took it and broke off, and the client got the first server's 503 with X-Not-Processed: 1.
 func TestRefusedByOneServerAndRunByAnother(t *testing.T) {
 	for _, downstream := range []webpeer.Protocol{{}, {HTTP2: true}} {
 		for _, upstream := range []webpeer.Protocol{{}, {HTTP2: true}} {
--- a/internal/app/sender.go
+++ b/internal/app/sender.go
@@ -9,8 +9,8 @@
 	"yokestall/policy"
 )
 
-// sender sends a tier's attempts. It uses the tier's upstream pool, or the payload's own SendAttempt method if another program
-// sends the request (external processing).
+// sender sends a tier's attempts. It uses the tier's upstream pool, or the payload's own SendAttempt method if another
+// program sends the request (external processing).
 type sender struct {
 	pool upstreamPool
 
--- a/internal/downstream/extproc/pickoutcome.go
+++ b/internal/downstream/extproc/pickoutcome.go
@@ -75,8 +75,9 @@
 	return status == policy.OK || status.NeverRan()
 }
 
-// replaceRefusal reports the attempt's outcome and answers the request with 502 in place of the response. A refusal that
-// would count as an answer (status 429) counts neither for nor against the endpoint, since the request was not served.
+// replaceRefusal reports the attempt's outcome and answers the request with 502 in place of the response. A refusal
+// that would count as an answer (status 429) counts neither for nor against the endpoint, since the request was not
+// served.
 func (p *processingStream) replaceRefusal(r *pickRequest, e *pickedEndpoint, status policy.Status) error {
 	if status == policy.OK {
 		status = policy.Cancelled
--- a/internal/downstream/extproc/pickrequest.go
+++ b/internal/downstream/extproc/pickrequest.go
@@ -66,9 +66,9 @@
 // SelfTimed implements engine.SelfTimedPayload, because a caller has timeouts of its own.
 func (*pickRequest) SelfTimed() {}
 
-// SendAttempt makes an attempt: it passes the endpoint to a stream, which names it to the caller, and returns the outcome that
-// the caller reports. If no stream takes the endpoint within RetryStreamTimeout, the attempt was never sent, and it is
-// the request's last one.
+// SendAttempt makes an attempt: it passes the endpoint to a stream, which names it to the caller, and returns the
+// outcome that the caller reports. If no stream takes the endpoint within RetryStreamTimeout, the attempt was never
+// sent, and it is the request's last one.
 func (r *pickRequest) SendAttempt(call *engine.Call, address string, _ time.Duration) engine.Result {
 	e := &pickedEndpoint{call: call, address: address, outcome: make(chan policy.Status, 1)}
 	stopped := make(chan struct{})
--- a/internal/downstream/extproc/refusals_test.go
+++ b/internal/downstream/extproc/refusals_test.go
@@ -14,8 +14,9 @@
 	"yokestall/internal/testutil"
 )
 
-// Guards against refusals of requests that may have run (docs/incidents/0002), for requests that the processor forwards: an
-// endpoint turned a request away, the next one took it and broke off, and the caller got the first endpoint's 503.
+// Guards against refusals of requests that may have run (docs/incidents/0002), for requests that the processor
+// forwards: an endpoint turned a request away, the next one took it and broke off, and the caller got the first
+// endpoint's 503.
 func TestForwardedRequestRefusedByOneEndpointAndRunByAnother(t *testing.T) {
 	var attempts atomic.Int64
 	handle := func(w http.ResponseWriter, _ *http.Request) {
@@ -35,8 +36,8 @@
 }
 
 // Guards against refusals of requests that may have run (docs/incidents/0002), for requests that the caller sends: an
-// endpoint's refusal is replaced by 502 where the request may have run at this endpoint or an earlier one, unless a repeat
-// is harmless.
+// endpoint's refusal is replaced by 502 where the request may have run at this endpoint or an earlier one, unless a
+// repeat is harmless.
 func TestPickedEndpointRefusesWhatMayHaveRun(t *testing.T) {
 	for name, tc := range map[string]struct {
 		path, scope string
@@ -63,7 +64,8 @@
 			}
 			code := reply.GetImmediateResponse().GetStatus().GetCode()
 			if replaced := code == http.StatusBadGateway; replaced != tc.replaced || !replaced && code != 0 {
-				t.Errorf("reply to the last response: immediate response with status %d; replaced by 502: %v, want %v", code, replaced, tc.replaced)
+				t.Errorf("reply to the last response: immediate response with status %d; replaced by 502: %v, want %v",
+					code, replaced, tc.replaced)
 			}
 			r.awaitIdle()
 			if served := r.server.Stats.Served.Load(); tc.replaced && served != 0 {
@@ -77,7 +79,8 @@
 func (r *rig) exchangePick(path string, attempt int, response string) *pb.ProcessingResponse {
 	s := r.open(r.t.Context())
 	defer s.CloseSend()
-	s.Send(requestHeaders(true, path, "x-request-id", "one", "idempotency-key", "k", "x-envoy-attempt-count", fmt.Sprint(attempt)))
+	count := fmt.Sprint(attempt)
+	s.Send(requestHeaders(true, path, "x-request-id", "one", "idempotency-key", "k", "x-envoy-attempt-count", count))
 	reply, err := s.Recv()
 	if err != nil || namedEndpoint(reply) == "" {
 		r.t.Fatalf("attempt %d: reply %v, error %v; want an endpoint", attempt, reply, err)
--- a/internal/engine/answers.go
+++ b/internal/engine/answers.go
@@ -21,7 +21,7 @@
 type Answer struct {
 	Verdict    Verdict
 	RetryAfter time.Duration // for Rejected: how long the client should wait before a retry; 0 means no advice
-	Value      any           // for Served: the answer; else an endpoint's answer that the client may get (see fallback), or nil
+	Value      any           // for Served: the answer; else an answer of an endpoint (see fallback), nil if there is none
 	From       Source        // for Served: the endpoint that answered
 	MayHaveRun bool          // an attempt was sent and may have run at its endpoint
 }
@@ -50,8 +50,8 @@
 	r.answer <- a
 }
 
-// answerUnserved gives a request that was not served its final answer, with an endpoint's answer as its value if there is
-// one that the client may get. It has no effect on a request that has ended.
+// answerUnserved gives a request that was not served its final answer, with an endpoint's answer as its value if there
+// is one that the client may get. It has no effect on a request that has ended.
 func (c *Cluster) answerUnserved(id policy.RequestID, a Answer) {
 	r := c.requests[id]
 	if r == nil || r.ended {
--- a/internal/engine/cluster_test.go
+++ b/internal/engine/cluster_test.go
@@ -127,8 +127,9 @@
 	}
 }
 
-// A cluster that ends with an attempt in flight must not return ErrRetired, which means that nothing was sent, nor an answer
-// without MayHaveRun (docs/incidents/0002): the client would retry a request that is not idempotent and may have run.
+// A cluster that ends with an attempt in flight must not return ErrRetired, which means that nothing was sent, nor an
+// answer without MayHaveRun (docs/incidents/0002): the client would retry a request that is not idempotent and may have
+// run.
 func TestEndWithAnAttemptInFlight(t *testing.T) {
 	sent := make(chan struct{})
 	c := startCluster(t, exchangerFunc(func(call *Call, _ policy.EndpointID, _ any, _ time.Duration) Result {
--- a/internal/engine/fallback.go
+++ b/internal/engine/fallback.go
@@ -2,8 +2,8 @@
 
 import "yokestall/policy"
 
-// Refuser is an endpoint's answer that may be a refusal: it tells the client, by its status or otherwise, that the request
-// has not run or can be sent again without harm.
+// Refuser is an endpoint's answer that may be a refusal: it tells the client, by its status or otherwise, that the
+// request has not run or can be sent again without harm.
 type Refuser interface{ Refuses() bool }
 
 // isRefusal reports whether an answer is a refusal.
@@ -12,11 +12,11 @@
 	return ok && r.Refuses()
 }
 
-// fallback holds answers of a request's attempts that did not succeed. If no attempt succeeds, the client gets one of them,
-// because it says more of the cause than an answer of our own.
+// fallback holds answers of a request's attempts that did not succeed. If no attempt succeeds, the client gets one of
+// them, because it says more of the cause than an answer of our own.
 //
-// An endpoint's answer speaks for one attempt, but the final answer for all of them. A refusal is therefore held apart from
-// other answers and only given out if it is true of the whole request.
+// An endpoint's answer speaks for one attempt, but the final answer for all of them. A refusal is therefore held apart
+// from other answers and only given out if it is true of the whole request.
 type fallback struct {
 	refusal         any           // latest answer that is a refusal; nil if there is none
 	refusalStatus   policy.Status // status of the attempt that refusal answers
@@ -39,10 +39,8 @@
 // take removes and returns the latest answer that the client may get, or nil if there is none. mayHaveRun says that an
 // attempt of the request may have run, and repeatIsHarmless that the client may send the request again even so.
 func (f *fallback) take(mayHaveRun, repeatIsHarmless bool) any {
-	refusalAllowed := !mayHaveRun
-	if repeatIsHarmless && f.refusalStatus != policy.Rejected { // policy.Rejected: the answer says that the request has not run
-		refusalAllowed = true
-	}
+	saysNotRun := f.refusalStatus == policy.Rejected
+	refusalAllowed := !mayHaveRun || repeatIsHarmless && !saysNotRun
 	if f.refusalIsLatest && refusalAllowed {
 		answer := f.refusal
 		f.refusal, f.refusalIsLatest = nil, false
--- a/internal/engine/fallback_test.go
+++ b/internal/engine/fallback_test.go
@@ -13,15 +13,16 @@
 
 func (refusal) Refuses() bool { return true }
 
-// scriptedResult is what an attempt's exchange does: it hangs until the attempt is stopped, or returns the result at once.
+// scriptedResult is what an attempt's exchange does: it hangs until the attempt is stopped, or returns the result at
+// once.
 type scriptedResult struct {
 	hang bool
 	Result
 }
 
-// Guards against refusals of requests that may have run (docs/incidents/0002): the refusal of one endpoint was given out
-// although another attempt was out or had failed. A refusal is still given out where it is true, or where a repeat is
-// harmless.
+// Guards against refusals of requests that may have run (docs/incidents/0002): the refusal of one endpoint was given
+// out although another attempt was out or had failed. A refusal is still given out where it is true, or where a repeat
+// is harmless.
 func TestRefusalsHoldForTheWholeRequest(t *testing.T) {
 	notRun := scriptedResult{Result: Result{Status: policy.Rejected, Answer: refusal("not processed")}}
 	unavailable := scriptedResult{Result: Result{Status: policy.ErrorResponse, Answer: refusal("unavailable")}}
@@ -88,7 +89,8 @@
 			}
 			a, err := c.Do(t.Context(), r)
 			if err != nil || a.Verdict != tc.verdict || a.Value != tc.value {
-				t.Errorf("got verdict %d with value %v, error %v; want verdict %d with value %v", a.Verdict, a.Value, err, tc.verdict, tc.value)
+				t.Errorf("got verdict %d with value %v, error %v; want verdict %d with value %v",
+					a.Verdict, a.Value, err, tc.verdict, tc.value)
 			}
 		})
 	}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -14,8 +14,8 @@
 	maxBodyBytes = 64 << 20
 	// streamStallTimeout is how long a streamed response may make no progress, on the upstream or the downstream side.
 	streamStallTimeout = 5 * time.Second
-	// reuseWaitFactor is the ratio of an exchange's duration to h1client.ReuseDelay from which the node waits to reuse the
-	// connection. It is low because the platform charges for new connections.
+	// reuseWaitFactor is the ratio of an exchange's duration to h1client.ReuseDelay from which the node waits to reuse
+	// the connection. It is low because the platform charges for new connections.
 	reuseWaitFactor = 2
 	// drainSendGraceDivisor sets the part of the drain grace that is left for sends decided before the node learns of the
 	// drain: the drain grace divided by this number, a fifth. Learning of the drain may take three quarters
--- a/internal/upstream/h1client/answer.go
+++ b/internal/upstream/h1client/answer.go
@@ -61,8 +61,8 @@
 // notProcessed is the header field, with the value 1, by which an endpoint states that it did not process the request.
 const notProcessed = "X-Not-Processed"
 
-// Refuses implements engine.Refuser. By the platform's protocol, a client may send a request again after status 429 or 503,
-// and a proxy may after status 504 with X-Not-Processed: 1.
+// Refuses implements engine.Refuser. By the platform's protocol, a client may send a request again after status 429 or
+// 503, and a proxy may after status 504 with X-Not-Processed: 1.
 func (a *Answer) Refuses() bool {
 	switch a.Status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/upstream/h1client/conn.go
+++ b/internal/upstream/h1client/conn.go
@@ -86,8 +86,8 @@
 	c.transferDeadlineSet = true
 }
 
-// quiet reports whether the connection is open and nothing has come from the endpoint that was not read: neither data, nor
-// the endpoint's close, nor an error. A connection that is not quiet can't be used for a request.
+// quiet reports whether the connection is open and nothing has come from the endpoint that was not read: neither data,
+// nor the endpoint's close, nor an error. A connection that is not quiet can't be used for a request.
 func (c *conn) quiet() bool {
 	if !c.tls {
 		return c.nothingToRead()
@@ -96,8 +96,8 @@
 	return !c.reused || c.nothingToRead() && !c.bufferedByTLS()
 }
 
-// bufferedByTLS reports whether the TLS layer holds data that it has read from the socket and not returned yet, or has met
-// the endpoint's close or an error. It reads nothing from the socket. No read deadline may be set.
+// bufferedByTLS reports whether the TLS layer holds data that it has read from the socket and not returned yet, or has
+// met the endpoint's close or an error. It reads nothing from the socket. No read deadline may be set.
 func (c *conn) bufferedByTLS() bool {
 	c.SetReadDeadline(expiredDeadline)
 	defer c.SetReadDeadline(time.Time{})
--- a/internal/upstream/h1client/idleconns.go
+++ b/internal/upstream/h1client/idleconns.go
@@ -20,9 +20,10 @@
 	// less than 1 so that the pool closes the connection before the endpoint does: a request that is written while the
 	// endpoint closes the connection must be treated as one that may have run.
 	IdleTimeoutFraction = 0.6
-	// ReuseDelay is the minimum time from an answer to the next request on its connection. An endpoint may send a second
-	// copy of an answer, or other excess bytes, some milliseconds after the answer. Nothing in an answer identifies its
-	// request, so that the excess bytes would be taken for the answer to a request that was written before they arrived.
+	// ReuseDelay is the minimum time from an answer to the next request on its connection. An endpoint may send a
+	// second copy of an answer, or other excess bytes, some milliseconds after the answer. Nothing in an answer
+	// identifies its request, so that the excess bytes would be taken for the answer to a request that was written
+	// before they arrived.
 	ReuseDelay = 20 * time.Millisecond
 	// defaultReuseWaitFactor is the default of Options.ReuseWaitFactor.
 	defaultReuseWaitFactor = 10
@@ -55,9 +56,9 @@
 	}
 }
 
-// evictExpired closes the endpoint's idle connections that exceed idleTimeout or maxIdlePerEndpoint, those that have been idle
-// for longest first. Connections within the reuse delay do not count against maxIdlePerEndpoint. As many others are kept
-// in addition, because the attempts of the next reuse delay need them. p.mu must be locked.
+// evictExpired closes the endpoint's idle connections that exceed idleTimeout or maxIdlePerEndpoint, those that have
+// been idle for longest first. Connections within the reuse delay do not count against maxIdlePerEndpoint. As many
+// others are kept in addition, because the attempts of the next reuse delay need them. p.mu must be locked.
 func (p *Pool) evictExpired(e *endpoint, now time.Time) {
 	reusable := p.reusableCount(e, now)
 	withinDelay := len(e.idle) - reusable
@@ -71,8 +72,8 @@
 	e.idle = slices.Delete(e.idle, 0, n)
 }
 
-// reusableCount returns the number of the endpoint's idle connections whose reuse delay is over. They are the first ones
-// of e.idle. p.mu must be locked.
+// reusableCount returns the number of the endpoint's idle connections whose reuse delay is over. They are the first
+// ones of e.idle. p.mu must be locked.
 func (p *Pool) reusableCount(e *endpoint, now time.Time) int {
 	return sort.Search(len(e.idle), func(i int) bool { return now.Sub(e.idle[i].idleSince) < p.reuseDelay })
 }
@@ -93,13 +94,15 @@
 	p.idleTimeout = keepalive.IdleTimeout(f, p.prices, p.maxIdleTime)
 }
 
-// acquire returns an idle connection to the endpoint, for which the caller waits with awaitReuseDelay. If there is none,
-// it returns a nil conn, the endpoint and policy.OK, and the caller may open a connection, which is counted already. At
-// maxConnections, acquire first closes the connection that has been idle for longest. The status is policy.ConnectFailed
-// if the endpoint is unknown, and policy.NeverSent if maxConnections is reached and no connection is idle.
+// acquire returns an idle connection to the endpoint, for which the caller waits with awaitReuseDelay. If there is
+// none, it returns a nil conn, the endpoint and policy.OK, and the caller may open a connection, which is counted
+// already. At maxConnections, acquire first closes the connection that has been idle for longest. The status is
+// policy.ConnectFailed if the endpoint is unknown, and policy.NeverSent if maxConnections is reached and no connection
+// is idle.
 //
-// At maxConnections, an attempt waits for an idle connection to its endpoint rather than close another one. At a high rate of
-// requests all of them are within the reuse delay, and the next attempts would open those again that this one closed.
+// At maxConnections, an attempt waits for an idle connection to its endpoint rather than close another one. At a high
+// rate of requests all of them are within the reuse delay, and the next attempts would open those again that this one
+// closed.
 func (p *Pool) acquire(id policy.EndpointID) (*conn, *endpoint, policy.Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,23 +146,23 @@
 	return c
 }
 
-// worthWaiting reports whether an attempt waits for the rest of the reuse delay of the endpoint's oldest idle connection
-// rather than open another connection. It waits if the connection's last exchange took at least reuseWaitThreshold, so
-// that the wait is short compared with the endpoint's latency. Otherwise requests that wait for an endpoint, and thus
-// follow its last answer at once, would open a new connection each time, which costs both sides a handshake. p.mu must be
-// locked.
+// worthWaiting reports whether an attempt waits for the rest of the reuse delay of the endpoint's oldest idle
+// connection rather than open another connection. It waits if the connection's last exchange took at least
+// reuseWaitThreshold, so that the wait is short compared with the endpoint's latency. Otherwise requests that wait for
+// an endpoint, and thus follow its last answer at once, would open a new connection each time, which costs both sides a
+// handshake. p.mu must be locked.
 func (p *Pool) worthWaiting(e *endpoint) bool { return e.idle[0].exchangeTime >= p.reuseWaitThreshold }
 
-// takeOldest removes and returns the endpoint's connection that has been idle for longest. There must be one, and Pool.mu
-// must be locked.
+// takeOldest removes and returns the endpoint's connection that has been idle for longest. There must be one, and
+// Pool.mu must be locked.
 func takeOldest(e *endpoint) *conn {
 	c := e.idle[0]
 	e.idle = slices.Delete(e.idle, 0, 1)
 	return c
 }
 
-// awaitReuseDelay waits until the reuse delay of a connection that acquire has returned is over. It returns false if the
-// call is stopped before.
+// awaitReuseDelay waits until the reuse delay of a connection that acquire has returned is over. It returns false if
+// the call is stopped before.
 func (p *Pool) awaitReuseDelay(call *engine.Call, c *conn) bool {
 	rest := p.reuseDelay - time.Since(c.idleSince)
 	if rest <= 0 {
@@ -191,9 +194,9 @@
 	return true
 }
 
-// release ends an attempt's, stream's or tunnel's use of a connection. The connection becomes idle if it is reusable and the
-// endpoint is still listed; otherwise release closes it. A connection counts against maxIdlePerEndpoint only once its reuse
-// delay is over, because at a high rate of requests many connections are within the delay at any time.
+// release ends an attempt's, stream's or tunnel's use of a connection. The connection becomes idle if it is reusable
+// and the endpoint is still listed; otherwise release closes it. A connection counts against maxIdlePerEndpoint only
+// once its reuse delay is over, because at a high rate of requests many connections are within the delay at any time.
 func (p *Pool) release(c *conn, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/h1client/tlsreuse_test.go
+++ b/internal/upstream/h1client/tlsreuse_test.go
@@ -15,8 +15,8 @@
 	"yokestall/policy"
 )
 
-// Guards against answers that reach the clients of other requests (docs/incidents/0003): over TLS, a second copy of an answer
-// that came right behind it was read from the socket together with the answer, and was taken for the next one.
+// Guards against answers that reach the clients of other requests (docs/incidents/0003): over TLS, a second copy of an
+// answer that came right behind it was read from the socket together with the answer, and was taken for the next one.
 func TestDuplicateAnswerBehindAnswerOverTLS(t *testing.T) {
 	var requests atomic.Int64
 	copied := make(chan struct{}, 20)
@@ -52,7 +52,8 @@
 	p.UpdateEndpoints(true, nil)
 }
 
-// A connection over TLS is used again if nothing has come behind the answer, also if the endpoint has sent session tickets.
+// A connection over TLS is used again if nothing has come behind the answer, also if the endpoint has sent session
+// tickets.
 func TestReuseOverTLS(t *testing.T) {
 	remoteAddrs := map[string]bool{}
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/h2client/pool_test.go
+++ b/internal/upstream/h2client/pool_test.go
@@ -84,8 +84,9 @@
 	}
 }
 
-// Guards against answers that reach the clients of other requests, as over HTTP/1.1 (docs/incidents/0001): a second copy of
-// an answer carries the id of its own stream, and is not the answer to a request that is open when the copy arrives.
+// Guards against answers that reach the clients of other requests, as over HTTP/1.1 (docs/incidents/0001): a second
+// copy of an answer carries the id of its own stream, and is not the answer to a request that is open when the copy
+// arrives.
 func TestLateDuplicateAnswers(t *testing.T) {
 	answer := func(f *http2.Framer, stream uint32) {
 		f.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: rawpeer.Fields(":status", "200"), EndHeaders: true})
