Use the wait that ends with a context, and move its package out of the lab

Cause: the wait for the reuse delay wrote ctxtime.Sleep again. Change: it calls it; the package is internal/ctxtime, since the program uses it now. Measured: the tests of h1client and ctxtime pass, and the node's import graph holds.

--- a/internal/lab/process/measure.go
+++ b/internal/lab/process/measure.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"time"
 
-	"yokestall/internal/lab/ctxtime"
+	"yokestall/internal/ctxtime"
 )
 
 // Measure measures the sizes of a plan one after the other. For each size it starts new processes as command, with env added to
--- a/internal/lab/process/replacefiles.go
+++ b/internal/lab/process/replacefiles.go
@@ -10,7 +10,7 @@
 	"os"
 	"path/filepath"
 
-	"yokestall/internal/lab/ctxtime"
+	"yokestall/internal/ctxtime"
 )
 
 // ChangeSettings replaces the main configuration file by one with the next Settings.Version and Settings.Step, and returns once
--- a/internal/lab/scale/steps.go
+++ b/internal/lab/scale/steps.go
@@ -6,8 +6,8 @@
 	"math"
 	"time"
 
+	"yokestall/internal/ctxtime"
 	"yokestall/internal/fleet/agent"
-	"yokestall/internal/lab/ctxtime"
 )
 
 // execute carries out a step according to its kind.
--- a/internal/upstream/h1client/idleconns.go
+++ b/internal/upstream/h1client/idleconns.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"yokestall/internal/ctxtime"
 	"yokestall/internal/engine"
 	"yokestall/internal/keepalive"
 	"yokestall/policy"
@@ -165,17 +166,7 @@
 // the call is stopped before.
 func (p *Pool) awaitReuseDelay(call *engine.Call, c *conn) bool {
 	rest := p.reuseDelay - time.Since(c.idleSince)
-	if rest <= 0 {
-		return true
-	}
-	timer := time.NewTimer(rest)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-call.Context().Done():
-		return false
-	}
+	return rest <= 0 || ctxtime.Sleep(call.Context(), rest) == nil
 }
 
 // evictOldest closes the connection that has been idle for longest, of all endpoints. It returns false if none is idle.
