TestUnresponsiveLongPoll: tell the calls of the agent apart by their queries

Cause, in the test: it took the second call for the long poll and the third for its hedged call. The first call is hedged as well if its response takes longer than 25 ms, as on a busy machine. Then the second call is that hedged call, which is cancelled by the first response, and the third is the long poll.

Now the calls are told apart by their queries, and any other query fails the test. That the long poll times out only after its hedged call is due was checked here for the default timing; TestPolledTimingHedge and, from now on, TestPushedTimingWithinDrainGrace hold it without a clock.

--- a/internal/discovery/polltiming_test.go
+++ b/internal/discovery/polltiming_test.go
@@ -36,6 +36,10 @@
 				t.Fatalf("drain grace %v: the next poll starts %v after a failure, want it earlier", grace, delay)
 			}
 		}
+		if poll.NextHedge() >= timeout {
+			t.Fatalf("drain grace %v: hedged call due after %v, long poll abandoned after %v, want the hedged call first",
+				grace, poll.NextHedge(), timeout)
+		}
 		if timeout < timing.LongPollWait || timing.HedgeTimeout < 10*responseTime {
 			t.Fatalf("drain grace %v: timeouts %v of the long poll and %v of a hedged call are too short for a busy machine",
 				grace, timeout, timing.HedgeTimeout)
--- a/internal/node/endpointwatcher_test.go
+++ b/internal/node/endpointwatcher_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// awaitHedgedPoll returns the calls of the first poll that continues from generation 1: the long poll, which gets no
+// response, and a hedged call. Calls for the full list are hedged calls of the poll before, which ended with its first
+// response.
+func awaitHedgedPoll(t *testing.T, calls <-chan agentCall) (longPoll, hedge agentCall) {
+	t.Helper()
+	for longPoll.done == nil || hedge.done == nil {
+		call := testutil.Wait(t, calls, "a long poll and a hedged call")
+		switch {
+		case call.query == "":
+		case call.query == "after=1&wait_ms=1":
+			hedge = call
+		case strings.HasPrefix(call.query, "after=1&") && longPoll.done == nil:
+			longPoll = call
+		default:
+			t.Fatalf("got a call with query %q, want one long poll after generation 1, and hedged calls without a wait", call.query)
+		}
+	}
+	return longPoll, hedge
+}
+
 // An unresponsive long poll is hedged, with an agent and with a shared discovery service, since by the protocol a change
 // counts as known to the node whether or not the node received it.
 func TestUnresponsiveLongPoll(t *testing.T) {
@@ -165,19 +185,19 @@
 				file["discovery"] = addr
 				file["settings"] = jsonText(strings.Replace(settingsText, "pushed", mode, 1))
 			})
+			// A test that is late responds to a call that is still in flight. The timeouts themselves are tested in
+			// package discovery.
+			cfg.pollTiming = configuredTiming(cfg)
+			cfg.pollTiming.AbandonAfter, cfg.pollTiming.HedgeTimeout = 2*testutil.WaitTimeout, 2*testutil.WaitTimeout
 			n := start(t, cfg)
 			testutil.Wait(t, calls, "the first call").response <- listOf(1, instanceAt(a, "s-a"), instanceAt(b, "s-b"))
 			n.waitReady(http.StatusOK)
-			overdue := testutil.Wait(t, calls, "the long poll")
-			hedge := testutil.Wait(t, calls, "a hedged call")
+			overdue, hedge := awaitHedgedPoll(t, calls)
 			select {
 			case <-overdue.done:
 				t.Error("the long poll was abandoned before it was hedged")
 			default:
 			}
-			if hedge.query != "after=1&wait_ms=1" {
-				t.Errorf("the hedged call has query %q, want after=1&wait_ms=1", hedge.query)
-			}
 			hedge.response <- listOf(2, draining(instanceAt(a, "s-a")), instanceAt(b, "s-b"))
 			for {
 				if next := testutil.Wait(t, calls, "the next long poll"); strings.HasPrefix(next.query, "after=2&") {
