h1server: the time of an upload runs while its bytes lie unread

Cause: bodyArrival moved the start of the client's time to now as long as more was missing than the client's kernel can hold, and with each 4 MiB that arrived. But it is this node that does not read, since the server does not. Class of the fault: what the node does is taken for the state of the client.

Change: the time stands still only while the node is ready to take bytes and none are there; while bytes lie unread it runs. Both special cases and the constant of the kernel's buffer are gone. The drawn exchanges know readers of each rate, sizes to 16 MB, clients that read while they write, and answers in lumps.

--- a/internal/downstream/h1server/bodyarrival.go
+++ b/internal/downstream/h1server/bodyarrival.go
@@ -2,20 +2,17 @@
 
 import "time"
 
-// This file tracks how much of a request's body has arrived, and since when its client may have written all of it. The time of
-// a request of the platform's clients begins with that write, whoever reads the body: net/http, the read-ahead of this package,
-// or nobody, because an endpoint does not read.
+// This file accounts for who waits for whom while a request's body arrives. The time of a request of the platform's clients
+// begins with the client's last write, which this node can't see. The client's time stands still only while the node is ready to
+// take bytes and none are there, since the client has more to write then. While bytes lie unread in the socket, because an
+// endpoint does not read, or reads slowly, the client's time runs, whoever reads the body: net/http, the read-ahead of this
+// package, or nobody.
 
 const (
 	// parserBufferBytes is the most that net/http holds of a connection's bytes without having returned them.
 	parserBufferBytes = 4 << 10
-	// maxUnsentBytes is the most that a client's kernel may hold of what the client has written and not sent: the limit of
-	// Linux's send buffers (tcp_wmem).
-	maxUnsentBytes = 4 << 20
 	// settleTime is how long after a socket was read empty the bytes arrive that the client's kernel had to hold back before.
 	settleTime = 20 * time.Millisecond
-	// sampleBytes is the least number of bytes that arrive between two samples of a bodyArrival.
-	sampleBytes = 256 << 10
 	// leastWindow is the least receive window that is counted on, in bytes.
 	leastWindow = 32 << 10
 	// maxDrainGap is the longest time between two finds of an empty socket between which its client could send all the time.
@@ -39,9 +36,8 @@
 	state  arrivalState
 	parsed int64 // bytes of the body that net/http has returned
 
-	// notBefore is a time before which the client has not written the last byte.
+	// notBefore is the last time at which the node was known to wait for the client.
 	notBefore time.Duration
-	samples   []arrivalSample // oldest first, sampleBytes apart; no older one than the last maxUnsentBytes need
 
 	// drainedSince is the time since which the socket was found empty again and again, the last time at lastEmpty. taken is the
 	// number of bytes that were taken from it after that. While they are fewer than window, the client could send all the time.
@@ -49,12 +45,6 @@
 	taken, window           int64
 }
 
-// arrivalSample is the number of bytes of a body that had arrived at a time.
-type arrivalSample struct {
-	at      time.Duration
-	arrived int64
-}
-
 // newBodyArrival returns the arrival of a body whose first byte is read at now or later.
 func newBodyArrival(length int64, now time.Duration) *bodyArrival {
 	return &bodyArrival{length: length, notBefore: now, drainedSince: now, lastEmpty: now, window: leastWindow}
@@ -63,7 +53,7 @@
 // open reports whether the last byte may not have arrived yet.
 func (b *bodyArrival) open() bool { return b.state == arriving || b.state == awaited }
 
-// moveTo records that the client has not written the last byte before a time.
+// moveTo records that the node waited for the client at a time.
 func (b *bodyArrival) moveTo(at time.Duration) { b.notBefore = max(b.notBefore, at) }
 
 // foundEmpty records that the socket was found empty. If it had not been for long, the client's kernel may still hold bytes that
@@ -125,30 +115,12 @@
 	if b.state != arriving {
 		return
 	}
-	arrived := b.parsed + unread
-	switch {
-	case b.length >= 0 && arrived >= b.length:
+	if b.length >= 0 && b.parsed+unread >= b.length {
 		b.state = allCame
-		return
-	case b.length-arrived > maxUnsentBytes+parserBufferBytes:
-		b.moveTo(now) // the client's kernel can't hold all that is missing
-	}
-	b.sample(arrivalSample{now, arrived})
-}
-
-// sample records what has arrived. What has arrived since a sample beyond what the client's kernel could hold then was written
-// after it.
-func (b *bodyArrival) sample(s arrivalSample) {
-	for len(b.samples) > 0 && s.arrived-b.samples[0].arrived > maxUnsentBytes+parserBufferBytes {
-		b.moveTo(b.samples[0].at)
-		b.samples = b.samples[1:]
-	}
-	if n := len(b.samples); n == 0 || s.arrived-b.samples[n-1].arrived >= sampleBytes {
-		b.samples = append(b.samples, s)
 	}
 }
 
-// elapsed returns the longest time that may have passed since the client wrote the last byte.
+// elapsed returns the part of the client's time that has passed.
 func (b *bodyArrival) elapsed(now time.Duration) time.Duration {
 	if b.state == awaited && b.settled(now) {
 		return 0
--- a/internal/downstream/h1server/bodyarrival_test.go
+++ b/internal/downstream/h1server/bodyarrival_test.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// maxUnsentBytes is the most that a client's kernel holds of what the client has written and not sent: the limit of Linux's send
+// buffers (tcp_wmem).
+const maxUnsentBytes = 4 << 20
+
 // arrivalModel is a client, its kernel, the node's kernel and the node's readers, in virtual time. Its bodyArrival is told what
 // the real readers tell.
 type arrivalModel struct {
@@ -17,6 +21,7 @@
 	sendBuffer, window, ahead64, buffer          int64         // capacities in bytes
 	pause, pauseUntil                            time.Duration // the client's pause before the last bytes, and its end; 0 before
 	lastWrite                                    time.Duration // time of the write of the last byte; 0 before
+	nothingUnread                                time.Duration // last time at which no byte lay unread in the socket
 	readerWaits                                  bool
 	waitsSince                                   time.Duration
 	wakesAt                                      time.Duration // time at which the waiting read takes what has come; 0: nothing has
@@ -27,7 +32,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	pick := func(list ...int64) int64 { return list[random.IntN(len(list))] + random.Int64N(16<<10) }
 	m := &arrivalModel{
-		random: random, size: pick(70<<10, 1<<20, 1<<20+64<<10, 3<<20, 6<<20),
+		random: random, size: pick(70<<10, 1<<20, 1<<20+64<<10, 3<<20, 6<<20, 16<<20),
 		sendBuffer: pick(16<<10, 256<<10, 2<<20, maxUnsentBytes-16<<10), window: pick(64<<10, 128<<10, 1<<20, 4<<20),
 		ahead64: maxReadAhead, buffer: pick(4<<10, 64<<10, 1<<20), pause: time.Duration(random.IntN(2)) * 500 * time.Millisecond,
 	}
@@ -66,6 +71,7 @@
 	}
 	if m.readerWaits && m.queued > 0 && m.now >= m.wakesAt {
 		m.readerWaits, m.wakesAt = false, 0
+		m.nothingUnread = m.now
 		m.body.readerGotBytes(m.now)
 		m.take(min(m.queued, 16<<10))
 	}
@@ -95,6 +101,7 @@
 			continue
 		}
 		if m.queued == 0 {
+			m.nothingUnread = m.now
 			m.body.readerWaits(m.now)
 			m.readerWaits, m.waitsSince = true, m.now
 			m.transmit() // a moment later
@@ -114,6 +121,7 @@
 	for m.ahead < m.ahead64 {
 		n := min(m.queued, readAheadChunk)
 		if n == 0 {
+			m.nothingUnread = m.now
 			m.body.readAheadEmptied(m.now, m.ahead)
 			return
 		}
@@ -141,19 +149,23 @@
 		t.Fatalf("seed %d: %v of the request's time have passed when the last byte has come to a read that waited, want at most %v",
 			seed, elapsed, m.now-m.lastWrite)
 	}
+	if unread := m.now - m.nothingUnread; elapsed < unread-tolerance {
+		t.Fatalf("seed %d: %v of the request's time have passed while bytes have lain unread for %v", seed, elapsed, unread)
+	}
 	if m.readerWaits && m.wakesAt == 0 && m.now-m.waitsSince > settleTime && elapsed != 0 {
 		t.Fatalf("seed %d: %v of the request's time have passed while a read waits for its client, want 0", seed, elapsed)
 	}
 }
 
-// Guards against a request whose time never begins, or begins late, because the node's own reading is taken for the client's
-// state: with any size, framing, buffers and order of events, no less time is counted than has passed since the client's last
-// write; and none while the node waits for the client.
+// Guards against a request whose time never begins, or begins late, because the node's own reading, or its endpoint's, is taken
+// for the client's state: with any size, framing, buffers, rates, pauses and order of events, no less time is counted than has
+// passed since the client's last write, nor than bytes have lain unread; and none while the node waits for the client.
 func TestBodyArrivalAgainstModel(t *testing.T) {
 	for seed := range uint64(3000) {
 		m := newArrivalModel(seed)
-		rate := []int64{2 << 10, 64 << 10, 1 << 20, 8 << 20}[m.random.IntN(4)] // bytes that the client writes at a time
-		endpointRate := []int64{0, 0, 4 << 10, 16 << 10}[m.random.IntN(4)]     // per step; less than the network carries
+		rate := []int64{2 << 10, 64 << 10, 1 << 20, 8 << 20}[m.random.IntN(4)]       // bytes that the client writes at a time
+		endpointRate := []int64{0, 0, 4 << 10, 16 << 10, 64 << 10}[m.random.IntN(5)] // per step; less than the network carries
+		pauseEvery := []int{1 << 20, 40, 200}[m.random.IntN(3)]                      // steps after which the endpoint pauses as long
 		free := m.buffer
 		for step := 1; step < 1200; step++ {
 			m.now += 5 * time.Millisecond
@@ -166,7 +178,13 @@
 				m.read(free)
 				m.write(rate)
 			}
-			free = max(0, m.buffer-m.parsed) + endpointRate
+			free = max(0, m.buffer-m.parsed)
+			if step/pauseEvery%2 == 0 {
+				free += endpointRate
+			}
+			if m.queued == 0 {
+				m.nothingUnread = m.now
+			}
 			if step%10 == 0 {
 				m.readAhead()
 			}
--- a/internal/stress/shapes/client.go
+++ b/internal/stress/shapes/client.go
@@ -22,47 +22,88 @@
 	// Took is the time from the client's last write, or from the write that failed, to the end of the answer. FirstByte is the
 	// same to the answer's first byte.
 	Took, FirstByte time.Duration
-	WriteErr        error // of writing the request
+	Total           time.Duration // from the request's first byte to the end of the answer
+	WriteErr        error         // of writing the request
+
+	begunAt, endedAt time.Time // times of the answer's first byte and of its end
 }
 
+// clientSendBufferBytes is the send buffer of a client with Client.SmallBuffer.
+const clientSendBufferBytes = 256 << 10
+
 // Run sends the request of a shape on a connection of its own, and reads the answer once all of it is written or a write has
-// failed. id is the request's ID.
+// failed, or meanwhile with Client.ReadsWhileWriting. id is the request's ID.
 func (s Shape) Run(addr, id string) (o Outcome) {
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		return Outcome{Err: err}
 	}
 	defer nc.Close()
-	nc.SetDeadline(time.Now().Add(testutil.WaitTimeout))
+	if s.Client.SmallBuffer {
+		nc.(*net.TCPConn).SetWriteBuffer(clientSendBufferBytes)
+	}
+	start := time.Now()
+	nc.SetDeadline(start.Add(testutil.WaitTimeout))
+	if !s.Client.ReadsWhileWriting {
+		writeErr := s.writeRequest(nc, id)
+		written := time.Now()
+		o = s.readOutcome(nc)
+		o.finish(start, written, writeErr)
+		return o
+	}
+	answers := make(chan Outcome, 1)
+	go func() { answers <- s.readOutcome(nc) }()
+	writeErr := s.writeRequest(nc, id)
+	written := time.Now()
+	o = <-answers
+	o.finish(start, written, writeErr)
+	return o
+}
+
+// writeRequest writes the shape's request with the ID.
+func (s Shape) writeRequest(w io.Writer, id string) error {
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\n",
 		s.Method, s.Target(), id, s.Timeout.Milliseconds())
 	if s.Keyed {
 		head += "Idempotency-Key: " + id + "\r\n"
 	}
 	if s.Method == http.MethodGet {
-		_, o.WriteErr = io.WriteString(nc, head+"\r\n")
-	} else {
-		o.WriteErr = s.Request.write(nc, head)
+		_, err := io.WriteString(w, head+"\r\n")
+		return err
 	}
-	written := time.Now()
-	in := bufio.NewReader(nc)
-	if _, err := in.Peek(1); err != nil {
-		o.Err, o.Took = err, time.Since(written)
+	return s.Request.write(w, head)
+}
+
+// readOutcome reads the answer.
+func (s Shape) readOutcome(from io.Reader) (o Outcome) {
+	defer func() { o.endedAt = time.Now() }()
+	in := bufio.NewReader(from)
+	if _, o.Err = in.Peek(1); o.Err != nil {
 		return o
 	}
-	o.FirstByte = time.Since(written)
+	o.begunAt = time.Now()
 	resp, err := http.ReadResponse(in, &http.Request{Method: s.Method})
 	if err != nil {
-		o.Err, o.Took = err, time.Since(written)
+		o.Err = err
 		return o
 	}
 	o.Status = resp.StatusCode
 	body, err := io.ReadAll(resp.Body)
-	o.Err, o.Took, o.Whole = err, time.Since(written), err == nil
+	o.Err, o.Whole = err, err == nil
 	o.Sound = o.Whole && bytes.Equal(body, testutil.Bytes(s.Answer.Size))
 	return o
 }
 
+// finish sets the times of an outcome whose request was written from start to written.
+func (o *Outcome) finish(start, written time.Time, writeErr error) {
+	o.WriteErr = writeErr
+	o.Total = o.endedAt.Sub(start)
+	o.Took = max(0, o.endedAt.Sub(written))
+	if !o.begunAt.IsZero() {
+		o.FirstByte = max(0, o.begunAt.Sub(written))
+	}
+}
+
 // ErrRefused is the error of Check for a request that was refused although it could be served.
 var ErrRefused = errors.New("the request was refused")
 
@@ -70,9 +111,10 @@
 // harmless where the server lacks capacity.
 func (s Shape) Check(o Outcome) error {
 	answered := o.Took
-	if s.Answer.Size > longAnswerBytes && o.Status == http.StatusOK { // a long answer has to begin in time
+	if o.Status == http.StatusOK && (s.Answer.Size > longAnswerBytes || s.passedOnLate()) { // it has to begin in time
 		answered = o.FirstByte
 	}
+	limit, limited := s.timeLimit()
 	switch {
 	case s.sendsInTime() && o.WriteErr != nil:
 		return fmt.Errorf("status %d, and the connection was ended while the client still wrote (%v)", o.Status, o.WriteErr)
@@ -80,7 +122,9 @@
 		return fmt.Errorf("no final answer within %v (error %v, of writing %v)", o.Took, o.Err, o.WriteErr)
 	case answered > s.Timeout+timeLimitSlack:
 		return fmt.Errorf("status %d after %v, want a final answer within %v", o.Status, answered, s.Timeout)
-	case !o.Whole && s.sound():
+	case limited && o.Total > limit:
+		return fmt.Errorf("status %d, %v after the request's first byte, want a final answer within %v", o.Status, o.Total, limit)
+	case !o.Whole && (s.sound() || s.Answer.Lumps > 0):
 		return fmt.Errorf("status %d, but the answer was cut off after %v (%v)", o.Status, o.Took, o.Err)
 	case o.Status == http.StatusOK && o.Whole && !o.Sound:
 		return errors.New("status 200, but a body that the endpoint did not send")
--- a/internal/stress/shapes/draw.go
+++ b/internal/stress/shapes/draw.go
@@ -57,6 +57,27 @@
 	return s
 }
 
+// LateAnswer draws an exchange whose answer is written in lumps, soundly, and may end after the client's time.
+func LateAnswer(random *rand.Rand, classes []Class) Shape {
+	s := drawRequest(random, classes, between(random, 500*time.Millisecond, 1400*time.Millisecond))
+	framings := []Framing{Length, Chunked, CloseDelimited}
+	s.Answer = Message{
+		Framing: framings[random.IntN(len(framings))], Size: 20<<10 + random.IntN(220<<10),
+		Lumps: 2 + random.IntN(4), LumpGap: between(random, 200*time.Millisecond, 900*time.Millisecond),
+	}
+	return s
+}
+
+// SlowReader draws a request of up to 16 MB that the client writes at once and the endpoint reads at a drawn rate.
+func SlowReader(random *rand.Rand, classes []Class) Shape {
+	const least, most = 10 << 10, 16 << 20
+	s := drawRequest(random, classes, between(random, 600*time.Millisecond, 1400*time.Millisecond))
+	s.Request = Message{Framing: drawUploadFraming(random), Size: least + random.IntN(most-least)}
+	s.ReadRate = 64 << 10 << random.IntN(8)
+	s.Client = Client{ReadsWhileWriting: random.IntN(2) == 0, SmallBuffer: random.IntN(2) == 0}
+	return s
+}
+
 // drawUploadFraming draws the framing of a request's body.
 func drawUploadFraming(random *rand.Rand) Framing {
 	if random.IntN(2) == 0 {
@@ -142,7 +163,7 @@
 
 // Any draws an exchange of any of the kinds above, or a plain one. uploads are the classes whose requests may have a body.
 func Any(random *rand.Rand, classes, uploads []Class) Shape {
-	switch random.IntN(6) {
+	switch random.IntN(8) {
 	case 0:
 		return StuckUpload(random, uploads)
 	case 1:
@@ -156,6 +177,10 @@
 		return s
 	case 4:
 		return drawRequest(random, classes, time.Second)
+	case 5:
+		return LateAnswer(random, classes)
+	case 6:
+		return SlowReader(random, uploads)
 	}
 	return PausingAnswer(random, classes)
 }
--- a/internal/stress/shapes/endpoint.go
+++ b/internal/stress/shapes/endpoint.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"yokestall/internal/testutil"
 )
 
 // smallBufferBytes is the receive buffer of an endpoint of ServeSmallBuffer.
@@ -18,6 +20,14 @@
 	Serve(nc, ended)
 }
 
+// ServeByTurns returns the i-th of several endpoints. Every other one receives into a small buffer.
+func ServeByTurns(i int) func(nc net.Conn, ended <-chan struct{}) {
+	if i%2 == 0 {
+		return ServeSmallBuffer
+	}
+	return Serve
+}
+
 // Serve serves a connection to an endpoint, which does with each request what its shape says. It returns when the connection
 // is to be closed. ended ends the waits of an endpoint that has stopped reading.
 func Serve(nc net.Conn, ended <-chan struct{}) {
@@ -47,7 +57,8 @@
 	case s.AnswerAfter > 0:
 		io.CopyN(io.Discard, r.Body, int64(s.AnswerAfter))
 	default:
-		if n, err := io.Copy(io.Discard, r.Body); err != nil || n != int64(s.Request.Size) {
+		body := &testutil.SlowReader{Reader: r.Body, Rate: s.ReadRate}
+		if n, err := io.Copy(io.Discard, body); err != nil || n != int64(s.Request.Size) {
 			return false
 		}
 	}
--- a/internal/stress/shapes/run.go
+++ b/internal/stress/shapes/run.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"yokestall/internal/testutil"
 )
 
 // DrawMany draws count shapes with the seed.
@@ -38,6 +40,7 @@
 
 // RunAll runs the exchanges, some of them at the same time.
 func RunAll(o Options, list []Shape) (report Report) {
+	makeBodies(list)
 	places := make(chan struct{}, o.AtOnce)
 	run := lastRun.Add(1)
 	var mu sync.Mutex
@@ -64,6 +67,15 @@
 	return report
 }
 
+// makeBodies makes the bytes of the longest body, for which the clients would otherwise wait while their time runs.
+func makeBodies(list []Shape) {
+	longest := 0
+	for _, s := range list {
+		longest = max(longest, s.Request.Size, s.Answer.Size)
+	}
+	testutil.Bytes(longest)
+}
+
 // slowUploadTime is the time that each upload of StartSlowUploads takes.
 const slowUploadTime = 4 * time.Second
 
--- a/internal/stress/shapes/shape.go
+++ b/internal/stress/shapes/shape.go
@@ -45,6 +45,14 @@
 	Pause   Pause
 	// WriteFor is the time over which the body is written; 0 means at once.
 	WriteFor time.Duration `json:",omitempty"`
+	// Lumps is the number of equal parts in which the body is written, LumpGap apart; 0 means that the other fields say how.
+	Lumps   int           `json:",omitempty"`
+	LumpGap time.Duration `json:",omitempty"`
+}
+
+// duration returns how long the sender takes by its own will.
+func (m Message) duration() time.Duration {
+	return m.Pause.Length + m.WriteFor + time.Duration(max(0, m.Lumps-1))*m.LumpGap
 }
 
 // Shape is an exchange. Its zero StopReading and AnswerAfter mean that the endpoint reads the whole request before it answers.
@@ -57,10 +65,31 @@
 	// StopReading is the number of bytes of the request's body after which the endpoint reads and answers nothing more; 0 if
 	// it reads all.
 	StopReading int `json:",omitempty"`
+	// ReadRate is the number of bytes a second at which the endpoint reads the request's body; 0 means at once.
+	ReadRate int `json:",omitempty"`
 	// AnswerAfter is the number of bytes of the request's body after which the endpoint answers without reading more; 0 if it
 	// reads all.
 	AnswerAfter int `json:",omitempty"`
 	Answer      Message
+	Client      Client `json:"-"`
+}
+
+// Client is how the client handles its connection.
+type Client struct {
+	ReadsWhileWriting bool // the client reads the answer as it comes, and not only when its request is written
+	SmallBuffer       bool // its kernel holds little of what it has written
+}
+
+// String returns a description of the client for messages.
+func (c Client) String() string {
+	text := "writes first"
+	if c.ReadsWhileWriting {
+		text = "reads while it writes"
+	}
+	if c.SmallBuffer {
+		text += " from a small buffer"
+	}
+	return text
 }
 
 // String returns a description of the shape for messages.
@@ -69,6 +98,9 @@
 	if s.StopReading > 0 {
 		return text + fmt.Sprintf("; endpoint stops reading after %d bytes", s.StopReading)
 	}
+	if s.ReadRate > 0 {
+		text += fmt.Sprintf("; client %v; endpoint reads %d bytes a second", s.Client, s.ReadRate)
+	}
 	if s.AnswerAfter > 0 {
 		text += fmt.Sprintf("; endpoint answers after %d bytes", s.AnswerAfter)
 	}
@@ -81,6 +113,9 @@
 	if m.Pause.At != Nowhere {
 		text += fmt.Sprintf(", %v %s", m.Pause.Length, m.Pause.At)
 	}
+	if m.Lumps > 0 {
+		text += fmt.Sprintf(", %d lumps %v apart", m.Lumps, m.LumpGap)
+	}
 	if m.WriteFor > 0 {
 		text += fmt.Sprintf(", over %v", m.WriteFor)
 	}
@@ -102,17 +137,43 @@
 	return s, err
 }
 
-// answerTime returns how long the endpoint takes for its answer.
-func (s Shape) answerTime() time.Duration { return s.Answer.Pause.Length + s.Answer.WriteFor }
+// readTime returns how long the endpoint takes to read the request.
+func (s Shape) readTime() time.Duration {
+	if s.ReadRate == 0 {
+		return 0
+	}
+	return time.Duration(s.Request.Size) * time.Second / time.Duration(s.ReadRate)
+}
 
 const (
 	// timeLimitSlack is how much longer than Shape.Timeout a final answer may take.
 	timeLimitSlack = 500 * time.Millisecond
 	// soundMargin is the time that a server under test gets for its own part of an exchange.
 	soundMargin = 300 * time.Millisecond
+	// transferRate is the least number of bytes a second that pass the server under test where nobody holds them back.
+	transferRate = 32 << 20
 )
 
-// sound reports whether the endpoint reads the whole request and its answer is there in time, so that it must be served.
+// sound reports whether the endpoint reads the whole request and its answer is there in time, so that it must be served. Of a
+// long answer the first bytes have to be there in time.
 func (s Shape) sound() bool {
-	return s.StopReading == 0 && s.answerTime()+soundMargin <= s.Timeout
+	if s.StopReading > 0 {
+		return false
+	}
+	if s.Answer.Lumps > 0 && s.Answer.Size > longAnswerBytes {
+		return true
+	}
+	return s.readTime()+s.Answer.duration()+soundMargin <= s.Timeout
+}
+
+// passedOnLate reports whether the answer ends after its client's time, so that it either is refused in time or begins in time.
+func (s Shape) passedOnLate() bool {
+	return s.Answer.duration() >= s.Timeout && s.Answer.Framing != Length
+}
+
+// timeLimit returns the longest time from the first byte of a request to its answer, if the client writes at once. The time of
+// the client also passes while it can't write, because its endpoint does not read.
+func (s Shape) timeLimit() (limit time.Duration, limited bool) {
+	transfer := time.Duration(s.Request.Size) * time.Second / transferRate
+	return s.Timeout + timeLimitSlack + transfer, s.ReadRate > 0 && s.Request.duration() == 0
 }
--- a/internal/stress/shapes/write.go
+++ b/internal/stress/shapes/write.go
@@ -29,6 +29,9 @@
 		return err
 	}
 	body := string(testutil.Bytes(m.Size))
+	if m.Lumps > 0 {
+		return m.writeLumps(w, body)
+	}
 	tail := max(0, m.Size-tailBytes)
 	middle := tail / 2
 	m.pauseAt(Beginning)
@@ -43,11 +46,29 @@
 	if err := m.writePart(w, body[tail:]); err != nil {
 		return err
 	}
-	if m.Framing == Chunked {
-		_, err := io.WriteString(w, "0\r\n\r\n")
-		return err
+	return m.writeEnd(w)
+}
+
+// writeLumps writes the body in lumps.
+func (m Message) writeLumps(w io.Writer, body string) error {
+	for i := range m.Lumps {
+		if i > 0 {
+			time.Sleep(m.LumpGap)
+		}
+		if err := m.writePart(w, body[len(body)*i/m.Lumps:len(body)*(i+1)/m.Lumps]); err != nil {
+			return err
+		}
 	}
-	return nil
+	return m.writeEnd(w)
+}
+
+// writeEnd writes what ends the message.
+func (m Message) writeEnd(w io.Writer) error {
+	if m.Framing != Chunked {
+		return nil
+	}
+	_, err := io.WriteString(w, "0\r\n\r\n")
+	return err
 }
 
 // writePaused writes two parts, with the message's pause between them if it is at the place.
