policy: one rule for an answer that has begun when its client's time ends

What callers saw: answers that a server still wrote were cut off 0.41 s after their first byte, 20 ms before the client's time, and were the beginning of a second attempt's answer, the first having been closed for it.

Causes: (1) the reader ended what it had passed on at the deadline after a pause of 0.4 s (shortStallTimeout); (2) without hedged requests a paused attempt was replaced four unloaded latencies before the deadline, whatever it had given. Class of the fault: a timer of a reader decides on a pause that a sound server may make.

Change: exchangers report what has come of an answer of unknown length (engine.Call.ReportBody). 10 ms before the deadline policy.Balancer.AnswerDue chooses, of the attempts that have shown life, the one that has given most, and the engine has it passed on; from then on it is a stream under the streams' own stall limit. An answer that has shown no life for a second is never passed on. Such an attempt is not replaced either while it shows life; another one is replaced as late as a further one can be served (its unloaded latency and the 0.15 s for which a node may be held up). An exchanger that is late to pass on has until 0.25 s after the deadline. shortStallTimeout, bufferedBodyPause and the reader's passOnMargin are gone.

Collision: TestAnswersThatNeverEnd wanted an end half a second after 1.2 s also of answers of unknown length that had begun late and were silent for less than a second at that time. The test keeps all its demands with a time of 2 s; TestBegunAnswersThatNeverEnd demands of times of 0.6 s that the first bytes come in time, that a part never passes for the whole, and an end after the stall limit.

TestAnswersThatNeverEnd and TestBegunAnswersThatNeverEnd pass.

--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -30,9 +30,6 @@
 	a.clock, a.onSend = c.clock, c.onSend
 	a.sendAllowed, a.clientDisconnected = r.SendAllowed, r.ClientDisconnected
 	a.dedupWindow, a.stalls = r.dedupWindow, a
-	if !r.BodyIncomplete {
-		a.setDeadline(r.Deadline)
-	}
 	if a.index == 0 {
 		r.attempts = r.firstAttempt[:0]
 	}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -24,14 +24,17 @@
 	dedupWindow        *dedupWindow                                       // Request.dedupWindow
 	stalls             stallObserver                                      // nil for a standalone call
 
-	stalled  atomic.Bool  // the answer has paused, and no data has arrived since
-	deadline atomic.Int64 // time on the clock, in ns, at which the final answer is due; 0 if it is not known
+	stalled         atomic.Bool  // the answer has paused, and no data has arrived since
+	bodyBytes       atomic.Int64 // sum of what ReportBody was given
+	bodyLastAt      atomic.Int64 // time on the clock, in ns, of the latest ReportBody
+	passOnRequested atomic.Bool  // the answer is to be passed on although it has not ended
 
-	mu      sync.Mutex // guards the fields below
-	stopped bool
-	onStop  func()             // runs when the call is stopped; may be nil
-	ctx     context.Context    // nil until Context is called
-	cancel  context.CancelFunc // cancels ctx; nil until Context is called
+	mu       sync.Mutex // guards the fields below
+	stopped  bool
+	onStop   func()             // runs when the call is stopped; may be nil
+	onPassOn func()             // runs when the answer is to be passed on; may be nil
+	ctx      context.Context    // nil until Context is called
+	cancel   context.CancelFunc // cancels ctx; nil until Context is called
 }
 
 // NewCall returns a standalone call, which belongs to no cluster and is stopped when ctx ends. It is for tests of
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -8,7 +8,7 @@
 	"yokestall/policy"
 )
 
-// balancerAnswerTimeout is how long after a request's deadline the engine waits for the Balancer to reject or fail the
+// balancerAnswerTimeout is how long after the end of a request's attempts at the deadline the engine waits for the Balancer to reject or fail the
 // request before the engine fails it.
 const balancerAnswerTimeout = 5 * time.Millisecond
 
@@ -54,6 +54,9 @@
 	ended         bool        // the request has its final answer, or its client disconnected
 	served        bool        // an attempt succeeded
 	fallback      fallback    // answers of attempts that did not succeed
+	dueHandled    bool        // answerDue was called for Deadline
+	timedOut      bool        // all attempts were ended at the deadline
+	passedOn      *attempt    // the attempt whose answer is passed on before its end; nil if there is none
 	deadlineTimer timer
 	dedupWindow   *dedupWindow // nil unless the class is idempotent by key
 	arriving      bool         // the payload has not reported its last byte; Deadline applies meanwhile
@@ -100,7 +103,7 @@
 	if r.BodyIncomplete { // a bound for the Balancer; the downstream server enforces an upload rate by the body's size
 		r.Deadline = now + policy.MaxBodyDuration
 	}
-	r.deadlineTimer = timer{at: r.Deadline, expiry: requestDeadline{r}}
+	r.deadlineTimer = timer{at: r.Deadline - policy.PassOnMargin, expiry: requestDeadline{r}}
 	if r.Class >= 0 && r.Class < len(c.classes) && c.classes[r.Class].Idempotency == policy.IdempotentByKey {
 		r.dedupWindow = &dedupWindow{length: c.classes[r.Class].DedupWindow}
 	}
@@ -153,10 +156,9 @@
 		return
 	}
 	c.timers.clear(&r.deadlineTimer)
-	r.deadlineTimer.at = deadline
-	c.timers.set(&r.deadlineTimer)
+	r.dueHandled = false
+	c.setDeadlineTimer(r, deadline-policy.PassOnMargin)
 	for _, a := range r.attempts {
-		a.setDeadline(deadline)
 		if !a.reported {
 			a.startedAt = now // excludes the upload from the endpoint's latency
 		}
@@ -195,25 +197,49 @@
 // requestDeadline is the expiry of Request.deadlineTimer.
 type requestDeadline struct{ request *Request }
 
-// expire ends the request's attempts at the deadline. The Balancer then has to reject or fail the request, at once or by
-// a timer of its own. If it has not done so balancerAnswerTimeout after the deadline, the engine fails the request.
+// expire handles that the answer is due, policy.PassOnMargin before the deadline, and the deadline.
 func (d requestDeadline) expire(c *Cluster, now time.Duration) {
 	r := d.request
+	c.answerDue(now, r)
+	if now < r.Deadline {
+		c.setDeadlineTimer(r, r.Deadline)
+		return
+	}
+	c.deadlinePassed(now, r)
+}
+
+// setDeadlineTimer sets the request's timer unless the request has ended.
+func (c *Cluster) setDeadlineTimer(r *Request, at time.Duration) {
+	if !r.ended {
+		r.deadlineTimer.at = at
+		c.timers.set(&r.deadlineTimer)
+	}
+}
+
+// deadlinePassed ends the request's attempts, except for one whose answer is passed on. The Balancer then has to reject or fail
+// the request, at once or by a timer of its own. If it has not done so within balancerAnswerTimeout, the engine fails the
+// request.
+func (c *Cluster) deadlinePassed(now time.Duration, r *Request) {
 	if r.arriving { // the Balancer knows no deadline of the request yet
 		r.arriving = false
 		c.balancer.BodyComplete(now, r.id, 0)
 	}
-	if now >= r.Deadline+balancerAnswerTimeout {
+	if r.timedOut {
 		c.answerUnserved(r.id, Answer{Verdict: Failed})
 		c.balancer.ClientDisconnected(now, r.id)
 		c.handle(now, requestAnswered{r})
 		return
 	}
+	awaitsPassedOn := r.awaitsPassedOn(now)
 	for _, a := range r.attempts {
-		c.handle(now, attemptEnded{a, policy.Timeout})
+		if a != r.passedOn || !awaitsPassedOn {
+			c.handle(now, attemptEnded{a, policy.Timeout})
+		}
 	}
-	if !r.ended {
-		r.deadlineTimer.at = r.Deadline + balancerAnswerTimeout
-		c.timers.set(&r.deadlineTimer)
+	if awaitsPassedOn {
+		c.setDeadlineTimer(r, r.Deadline+passOnTimeout)
+		return
 	}
+	r.timedOut = true
+	c.setDeadlineTimer(r, now+balancerAnswerTimeout)
 }
--- a/internal/engine/stall.go
+++ b/internal/engine/stall.go
@@ -32,19 +32,6 @@
 	}
 }
 
-// TimeRemaining returns the time until the request's final answer is due. known is false for a standalone call, and
-// while a part of the request's body has not arrived.
-func (c *Call) TimeRemaining() (remaining time.Duration, known bool) {
-	deadline := time.Duration(c.deadline.Load())
-	if deadline == 0 || c.standalone() {
-		return 0, false
-	}
-	return deadline - c.clock.Now(), true
-}
-
-// setDeadline sets the time on the Clock at which the request's final answer is due.
-func (c *Call) setDeadline(at time.Duration) { c.deadline.Store(int64(max(1, at))) }
-
 var _ stallObserver = (*attempt)(nil)
 
 // answerStalled implements stallObserver.
@@ -60,13 +47,13 @@
 // beginning was dropped, so that its attempt is left to wait.
 func (e answerStalled) apply(c *Cluster, now time.Duration) {
 	a := e.attempt
-	if a.reported || a.request.ended || !a.stalled.Load() {
+	if a.reported || a.request.ended || a.request.passedOn != nil || !a.stalled.Load() {
 		return
 	}
 	if payload, ok := a.request.Payload.(StreamingPayload); ok && payload.Streaming() {
 		return
 	}
-	replaceAt, replace := c.balancer.AnswerStalled(now, a.request.id, a.index)
+	replaceAt, replace := c.balancer.AnswerStalled(now, a.request.id, a.index, a.progress())
 	c.timers.clear(&a.stallTimer)
 	switch {
 	case !replace:
--- a/internal/upstream/h1client/stream.go
+++ b/internal/upstream/h1client/stream.go
@@ -51,10 +51,6 @@
 	lacksFraming bool
 	closeOnce    sync.Once
 	ended        bool // the body was read to its end
-	// remainingShort is the number of bytes for which shortStallTimeout applies: those up to MaxBody of a body that was
-	// buffered up to the request's deadline. 0 for other bodies.
-	remainingShort int
-	deadline       time.Time // the request's deadline; set if remainingShort is
 }
 
 var _ Stream = (*stream)(nil)
@@ -76,30 +72,10 @@
 		pool: p, conn: c, stallTimeout: r.StallTimeout(), resp: resp, source: source, prefix: prefix, sender: sender,
 		reusable: !resp.Close, lacksFraming: !p.anyStatus && c.lacksFraming(resp),
 	}
-	body.setRemainingShort()
 	a.Stream = body
 	return engine.Result{Status: policy.OK, Answer: a}
 }
 
-// setRemainingShort sets remainingShort and deadline of a stream of whose body some bytes were buffered.
-func (s *stream) setRemainingShort() {
-	remaining, known := s.conn.remaining()
-	if known && !s.pool.anyStatus && s.resp.ContentLength < 0 {
-		s.remainingShort, s.deadline = max(0, MaxBody-len(s.prefix)), time.Now().Add(remaining)
-	}
-}
-
-// stallDeadline returns the time until which the endpoint may send nothing.
-func (s *stream) stallDeadline(now time.Time) time.Time {
-	if s.remainingShort == 0 {
-		return now.Add(s.stallTimeout)
-	}
-	if now.Before(s.deadline) {
-		now = s.deadline
-	}
-	return now.Add(shortStallTimeout)
-}
-
 // Read implements Stream.
 func (s *stream) Read(p []byte) (int, error) {
 	if len(s.prefix) > 0 {
@@ -111,9 +87,8 @@
 		return 0, io.EOF
 	}
 	s.conn.readBudget = maxAnswerBytes // per Read, not per body
-	s.conn.SetReadDeadline(s.stallDeadline(time.Now()))
+	s.conn.SetReadDeadline(time.Now().Add(s.stallTimeout))
 	n, err := s.source.Read(p)
-	s.remainingShort = max(0, s.remainingShort-n)
 	switch {
 	case err == io.EOF && s.lacksFraming:
 		return n, io.ErrUnexpectedEOF
--- a/policy/stalls.go
+++ b/policy/stalls.go
@@ -9,23 +9,27 @@
 // slow. The inputs are the host's reports of pauses and of their ends, and the unloaded latency of the
 // class. Where hedging is allowed, a pause causes a hedged request. Elsewhere the attempt is replaced
 // as late as a further attempt can still be answered in time, and only once for each request, so that a
-// sound answer that pauses is not given up while it could still be served. A pause counts as a failure of
+// sound answer that pauses is not given up while it could still be served. An attempt whose answer shows
+// life and may be passed on at the deadline (begunanswers.go) is not replaced. A pause counts as a failure of
 // the endpoint only when the attempt ends without an answer: because it was replaced, because another
 // attempt was faster, or by a timeout.
 
-// replacementTime returns the time that a further attempt of the request is given: the time after which an
-// attempt at an idle endpoint would be unresponsive.
+// maxHostDelay is how long the host may be held up between a decision and the send.
+const maxHostDelay = 150 * time.Millisecond
+
+// replacementTime returns how long before its deadline the request's stalled attempt is replaced: the time
+// that a further attempt takes at an idle endpoint, and maxHostDelay.
 func (b *Balancer) replacementTime(r *request) time.Duration {
-	return unresponsiveFactor * b.fastestAnswer(r)
+	return b.fastestAnswer(r) + maxHostDelay
 }
 
-// AnswerStalled handles a pause in an answer that has begun. It sends a hedged request if that is allowed
-// and the request has no other attempt in flight. Otherwise replace tells whether the attempt is to be
-// replaced if the pause lasts until replaceAt. If replaceAt is not later than now, the host has to end the
-// attempt as ErrorResponse at once; at a later time it calls AnswerStalled again, unless it has called
-// AnswerResumed. The host may report a pause again as long as it lasts.
+// AnswerStalled handles a pause in an answer that has begun and of which progress has come. It sends a
+// hedged request if that is allowed and the request has no other attempt in flight. Otherwise replace tells
+// whether the attempt is to be replaced if the pause lasts until replaceAt. If replaceAt is not later than
+// now, the host has to end the attempt as ErrorResponse at once; at a later time it calls AnswerStalled
+// again, unless it has called AnswerResumed. The host may report a pause again as long as it lasts.
 func (b *Balancer) AnswerStalled(
-	now time.Duration, id RequestID, index int,
+	now time.Duration, id RequestID, index int, progress AnswerProgress,
 ) (replaceAt time.Duration, replace bool) {
 	r, a := b.findAttempt(id, index)
 	if r == nil || r.done || r.streaming {
@@ -39,7 +43,7 @@
 		b.hedgeStalled(now, r)
 		return 0, false
 	}
-	return b.replaceStalled(now, r)
+	return b.replaceStalled(now, r, progress)
 }
 
 // AnswerResumed handles the end of a pause that was reported by AnswerStalled.
@@ -89,8 +93,13 @@
 }
 
 // replaceStalled decides when the request's only attempt in flight, which is stalled, is replaced.
-func (b *Balancer) replaceStalled(now time.Duration, r *request) (replaceAt time.Duration, replace bool) {
+func (b *Balancer) replaceStalled(
+	now time.Duration, r *request, progress AnswerProgress,
+) (replaceAt time.Duration, replace bool) {
 	replaceAt = max(now, r.deadline-b.replacementTime(r))
+	if progress.Bytes > 0 {
+		replaceAt = max(replaceAt, progress.LastAt+maxSilence)
+	}
 	latest := r.deadline - b.fastestAnswer(r)
 	switch {
 	case r.replacement != noReplacement || !b.mayReplace(replaceAt, r):
