fairshare: bound what connections take of the server, whatever they send

What callers saw: beside one client that pipelines requests of 1 ms at full speed on one connection, others were answered late, refused or never.

Cause: only answers before the engine cost their connection time (Server.pace). Such a connection never waits: the goroutines of its requests hand the processor to each other, so that the runtime looks at the network every 10 ms only. Class of the fault: a bound on one way to answer in place of a bound on the connection.

Change: package fairshare (pure) charges each answer to its connection, at one place for each front: local ones (no attempt was sent, whoever answers) 10 ms of a burst of 1 s, forwarded ones 20 us. A connection in the state AwaitsTurn waits up to 0.25 s before its next request is read. Beyond a reserve of 10 a second, all connections together share 2,000 local answers a second. h1server, HTTP/2 by the same handler, and the external processor (an account for each connection) use it; Server.Shares counts the waits, an event names the connection. Server.pace and its constants are gone.

--- a/cmd/yokestall-node/floods_test.go
+++ b/cmd/yokestall-node/floods_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yokestall/internal/stress/crowd"
+	"yokestall/internal/testutil"
 )
 
 // Guards against clients that make others wait, or memory grow, because they send small or unsound requests at full speed.
@@ -19,6 +20,34 @@
 	}
 }
 
+// Guards against few clients that take the processor from all others, whatever they send and whoever answers it.
+func TestFewConnectionsDelayNobody(t *testing.T) {
+	program := testutil.BuildProgram(t, "cmd/yokestall-node")
+	for _, kind := range crowd.FloodKinds() {
+		for _, clients := range []int{1, 24} {
+			t.Run(fmt.Sprintf("%s, %d", kind, clients), func(t *testing.T) {
+				r := newRigWith(t, rigOptions{memoryMB: minMemoryLimitMB, boxes: 4, executable: program})
+				r.startNode()
+				for i := range 20 { // the node learns how long the endpoints take
+					request(t, r.Addr, "read", fmt.Sprintf("first-%d", i), 5*time.Second, nil)
+				}
+				flood := crowd.StartFlood(crowd.FloodOptions{
+					Addr: r.Addr, Kind: kind, Clients: clients, Pipelined: 100, FullSpeed: true, Target: "/read",
+				})
+				defer flood.Stop()
+				report := crowd.RunOrdinary(crowd.OrdinaryOptions{
+					Addr: r.Addr, Target: "/read", Clients: 6, Requests: 80, Every: 20 * time.Millisecond,
+					Timeout: 436 * time.Millisecond, Grace: answerGrace,
+				})
+				t.Logf("%v; %d requests of the flood", report, flood.Sent.Load())
+				if report.Late > 0 || report.Served < report.Requests*95/100 {
+					t.Errorf("ordinary clients: %v; want none late and 95 of 100 served", report)
+				}
+			})
+		}
+	}
+}
+
 // checkFlood runs a flood and checks the answers of another client meanwhile.
 func checkFlood(t *testing.T, kind crowd.FloodKind, pipelined int) {
 	const (
--- a/cmd/yokestall/crowdmemory_test.go
+++ b/cmd/yokestall/crowdmemory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -11,6 +12,7 @@
 	"time"
 
 	"yokestall/internal/stress/crowd"
+	"yokestall/internal/stress/shapes"
 	"yokestall/internal/testutil"
 )
 
@@ -165,3 +167,26 @@
 		})
 	}
 }
+
+// Guards against few clients that take the processor from all others, whatever they send and whoever answers it.
+func TestServeFewConnectionsDelayNobody(t *testing.T) {
+	program := testutil.BuildProgram(t, "cmd/yokestall")
+	for _, kind := range crowd.FloodKinds() {
+		t.Run(string(kind), func(t *testing.T) {
+			endpoint := testutil.Accept(t, func(nc net.Conn) { shapes.Serve(nc, nil) }) // with short answers
+			addr, _ := startServeCommand(t, program, nil, crowdConfig, endpoint)
+			flood := crowd.StartFlood(crowd.FloodOptions{
+				Addr: addr, Kind: kind, Clients: 24, Pipelined: 100, FullSpeed: true, Target: "/pay",
+			})
+			defer flood.Stop()
+			report := crowd.RunOrdinary(crowd.OrdinaryOptions{
+				Addr: addr, Target: "/pay", Clients: 6, Requests: 80, Every: 20 * time.Millisecond,
+				Timeout: 436 * time.Millisecond, Grace: answerGrace,
+			})
+			t.Logf("%v; %d requests of the flood", report, flood.Sent.Load())
+			if report.Late > 0 || report.Served < report.Requests*95/100 {
+				t.Errorf("ordinary clients: %v; want none late and 95 of 100 served", report)
+			}
+		})
+	}
+}
--- a/internal/downstream/extproc/forward.go
+++ b/internal/downstream/extproc/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"yokestall/internal/engine"
+	"yokestall/internal/fairshare"
 	"yokestall/internal/idempotency"
 	"yokestall/internal/ingress"
 	"yokestall/internal/upstream/h1client"
@@ -43,6 +44,9 @@
 	r := p.engineRequest(out)
 	r.ClientDisconnected = func() bool { return ctx.Err() != nil }
 	answer, err := p.destination.Cluster.Do(ctx, r)
+	if answer.Sent {
+		p.cost = fairshare.Forwarded
+	}
 	if err != nil {
 		return p.endUnanswered(a, err)
 	}
--- a/internal/downstream/extproc/pick.go
+++ b/internal/downstream/extproc/pick.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/types/known/structpb"
 
 	"yokestall/internal/engine"
+	"yokestall/internal/fairshare"
 	"yokestall/internal/idempotency"
 	"yokestall/internal/ingress"
 	"yokestall/policy"
@@ -38,6 +39,7 @@
 		return err
 	}
 	p.server.Stats.EndpointsPicked.Add(1)
+	p.cost = fairshare.Forwarded
 	if err := p.send(p.endpointReply(e.address)); err != nil {
 		r.reportOutcome(e, policy.Cancelled) // the caller may have received the reply and sent the attempt
 		return err
--- a/internal/downstream/extproc/serve.go
+++ b/internal/downstream/extproc/serve.go
@@ -79,6 +79,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.MaxHeaderListSize(uint32(s.MaxHeaderBytes)),
 		grpc.InTapHandle(s.tap),
+		grpc.StatsHandler(connectionShares{s}),
 	}
 	if o.TLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(o.TLS)))
--- a/internal/downstream/extproc/server.go
+++ b/internal/downstream/extproc/server.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"yokestall/internal/fairshare"
 	"yokestall/internal/idempotency"
 )
 
@@ -27,6 +28,7 @@
 	lastID        atomic.Uint64 // number of the last generated request id
 	idPrefix      string        // prefix of generated request ids, for requests without an id
 	maxTimeout    atomic.Int64  // longest timeout of any request so far, in nanoseconds
+	shares        fairshare.Ledger
 
 	// mu guards the fields below.
 	mu         sync.Mutex
@@ -60,17 +62,27 @@
 // Process handles one stream of a caller (service.ext_proc.v3.ExternalProcessor). A message that is malformed or out of
 // order ends the stream with the status InvalidArgument.
 func (s *Server) Process(rpc grpc.BidiStreamingServer[pb.ProcessingRequest, pb.ProcessingResponse]) error {
+	cost, err := s.process(rpc)
+	s.awaitTurn(rpc.Context(), cost)
+	return err
+}
+
+// process handles one stream. It returns what the stream takes of its connection's share, and the status of the stream.
+func (s *Server) process(
+	rpc grpc.BidiStreamingServer[pb.ProcessingRequest, pb.ProcessingResponse],
+) (fairshare.Cost, error) {
 	if s.openStreams.Add(1) > int64(s.MaxStreams) {
 		s.openStreams.Add(-1)
 		s.Stats.StreamsRejected.Add(1)
-		return status.Error(codes.ResourceExhausted, "too many open streams: the server's limit is reached")
+		return fairshare.Local, status.Error(codes.ResourceExhausted, "too many open streams: the server's limit is reached")
 	}
 	defer s.openStreams.Add(-1)
-	p := &processingStream{server: s, rpc: rpc, state: NewStreamState(), arrivedAt: s.Clock.Now()}
+	p := &processingStream{server: s, rpc: rpc, state: NewStreamState(), arrivedAt: s.Clock.Now(), cost: fairshare.Local}
 	p.timer = rpc.Context().Value(streamTimerKey{}).(*streamTimer)
 	defer p.timer.stop()
 	defer p.releaseBuffers()
-	return s.statusOf(rpc.Context(), p.run())
+	err := s.statusOf(rpc.Context(), p.run())
+	return p.cost, err
 }
 
 // statusOf returns the status with which a stream ends, nil for OK. err is the result of handling the stream.
--- a/internal/downstream/extproc/stream.go
+++ b/internal/downstream/extproc/stream.go
@@ -10,6 +10,7 @@
 	pb "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc"
 
+	"yokestall/internal/fairshare"
 	"yokestall/internal/ingress"
 )
 
@@ -29,6 +30,7 @@
 	timer         *streamTimer
 	arrivedAt     time.Duration // time on Server.Clock at which the stream was opened
 	bufferedBytes int64         // this stream's part of Server.bufferedBytes
+	cost          fairshare.Cost
 
 	message     *pb.ProcessingRequest // latest message received
 	request     *http.Request
@@ -43,6 +45,7 @@
 		return err
 	}
 	if p.state.ObserveOnly { // the caller ignores replies, so no decision is made
+		p.cost = fairshare.Forwarded
 		return p.discardMessages()
 	}
 	err := p.readRequest()
--- a/internal/downstream/h1server/clientconn.go
+++ b/internal/downstream/h1server/clientconn.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"yokestall/internal/connlimit"
+	"yokestall/internal/fairshare"
 )
 
 // clientConn is a client's connection that has a place in the table of client connections. net/http reads requests from
@@ -20,9 +21,9 @@
 
 	// framing scans the bytes that Read returns. It is guarded by conns.mu, except for its counters, which are atomic.
 	framing      framingScan
-	localAnswers pacer // guarded by conns.mu
-	reported     bool  // the first Read has reported that bytes were received
-	countsFields bool  // the connection's bytes are HTTP/1 in clear text, so that the fields of a header can be counted
+	share        fairshare.Account // of conns.shares
+	reported     bool              // the first Read has reported that bytes were received
+	countsFields bool              // the connection's bytes are HTTP/1 in clear text, so that the fields of a header can be counted
 	// requestLengths counts the requests so far that had a Content-Length. It is used only with Options.Strict, by the
 	// handlers of the connection's requests, which run one at a time.
 	requestLengths int
--- a/internal/downstream/h1server/clientconns.go
+++ b/internal/downstream/h1server/clientconns.go
@@ -14,6 +14,7 @@
 
 	"yokestall/internal/adminstate"
 	"yokestall/internal/connlimit"
+	"yokestall/internal/fairshare"
 )
 
 const (
@@ -32,7 +33,8 @@
 	closeListener  sync.Once     // closes listenerClosed
 	readAheadBytes atomic.Int64  // bytes read ahead on all connections, with those reserved for reads in progress
 
-	start time.Time // time zero of the durations that the table is given
+	start  time.Time // time zero of the durations that the table and shares are given
+	shares fairshare.Ledger
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -170,6 +172,7 @@
 	}
 	cs.table.Remove(c.entry)
 	delete(cs.idleHTTP2, c)
+	cs.shares.Close(&c.share)
 	cs.notifyChanged()
 	defer c.discardReadAhead()
 	return c.Conn.Close()
--- a/internal/downstream/h1server/eventlog.go
+++ b/internal/downstream/h1server/eventlog.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// shareUsedUp logs that a connection has used up its share of the server's time, and waits for its turn from now on.
+func (l *eventLog) shareUsedUp(r *http.Request) {
+	if suppressed, ok := l.admit(); ok {
+		l.log.Info("connection awaits its turn", "id", r.Header.Get("X-Request-Id"), "client", r.RemoteAddr, "suppressed", suppressed)
+	}
+}
+
 // headerCutOff logs a connection that was ended because of the number of fields in a header.
 func (l *eventLog) headerCutOff(client string) {
 	if suppressed, ok := l.admit(); ok {
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"yokestall/internal/engine"
+	"yokestall/internal/fairshare"
 	"yokestall/internal/ingress"
 	"yokestall/internal/upstream/h1client"
 )
@@ -42,21 +43,22 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := clientConnOf(r)
 	conn.watchBody(w, r)
-	s.serveRequest(w, r, conn)
+	cost := s.serveRequest(w, r, conn)
 	conn.answered()
+	s.awaitTurn(w, r, conn, cost)
 }
 
-// serveRequest answers one request that came on conn, which is nil if the connection has no place in the table.
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, conn *clientConn) {
+// serveRequest answers one request that came on conn, which is nil if the connection has no place in the table. It returns what
+// the answer takes of the connection's share.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, conn *clientConn) (cost fairshare.Cost) {
 	s.limitConnection(w, r, conn)
 	if err := s.checkHeader(r); err != nil {
-		s.rejectPaced(w, r, conn, err)
-		return
+		s.rejectLogged(w, r, err)
+		return fairshare.Local
 	}
 	if r.URL.Path == "/health/ready" {
 		s.serveHealthCheck(w)
-		s.pace(w, r, conn)
-		return
+		return fairshare.Local
 	}
 	e := &exchange{
 		server: s, w: w, r: r, control: http.NewResponseController(w), conn: conn,
@@ -64,25 +66,25 @@
 	}
 	defer e.bodyMemory.release()
 	if err := e.readRequest(); err != nil {
-		s.rejectPaced(w, r, conn, err)
-		return
+		s.rejectLogged(w, r, err)
+		return fairshare.Local
 	}
 	if !e.admit() {
-		return
+		return fairshare.Local
 	}
 	id := e.payload.Header.Get("X-Request-Id")
 	if !s.requestIDs.claim(id) {
-		s.rejectPaced(w, r, conn, &ingress.Rejection{
+		s.rejectLogged(w, r, &ingress.Rejection{
 			Status: http.StatusConflict, Message: "a request with this X-Request-ID is open, or may have run",
 		})
-		return
+		return fairshare.Local
 	}
 	s.lastRequestAt.Store(time.Now().UnixNano())
 	s.requestCount.Add(1)
 	if err := e.startUpload(); err != nil {
 		s.requestIDs.release(id)
 		s.rejectLogged(w, r, err)
-		return
+		return fairshare.Local
 	}
 	defer e.endUpload()
 	defer e.watchClient()()
@@ -95,10 +97,10 @@
 	} else {
 		s.requestIDs.release(id)
 	}
-	if e.rejectFailedUpload(answer, err) {
-		return
+	if !e.rejectFailedUpload(answer, err) {
+		e.respond(answer, err)
 	}
-	e.respond(answer, err)
+	return costOf(answer)
 }
 
 // limitConnection decides whether the connection is closed after the answer and sets the deadline for reading the
--- a/internal/downstream/h1server/response.go
+++ b/internal/downstream/h1server/response.go
@@ -43,12 +43,6 @@
 	http.Error(w, rejection.Message, rejection.Status)
 }
 
-// rejectPaced rejects a request, and paces its connection.
-func (s *Server) rejectPaced(w http.ResponseWriter, r *http.Request, conn *clientConn, err error) {
-	s.rejectLogged(w, r, err)
-	s.pace(w, r, conn)
-}
-
 // rejectLogged rejects a request and logs it. A direct response of a route is no rejection to log.
 func (s *Server) rejectLogged(w http.ResponseWriter, r *http.Request, err error) {
 	var rejection *ingress.Rejection
--- a/internal/engine/answers.go
+++ b/internal/engine/answers.go
@@ -24,6 +24,7 @@
 	Value      any           // for Served: the answer; else an answer of an endpoint (see fallback), nil if there is none
 	From       Source        // for Served: the endpoint that answered
 	MayHaveRun bool          // an attempt was sent and may have run at its endpoint
+	Sent       bool          // an attempt was sent to an endpoint
 	Attempts   []string      // unless Served: how each attempt ended, or that it was in flight
 }
 
@@ -47,7 +48,7 @@
 func (c *Cluster) sendAnswer(r *Request, a Answer) {
 	c.endRequest(r)
 	r.fallback.close()
-	a.MayHaveRun = r.mayHaveRun(nil)
+	a.MayHaveRun, a.Sent = r.mayHaveRun(nil), r.sent()
 	if a.Verdict != Served {
 		a.Attempts = r.attemptResults()
 	}
@@ -110,6 +111,16 @@
 	return false
 }
 
+// sent reports whether an attempt of the request was sent.
+func (r *Request) sent() bool {
+	for _, a := range r.attempts {
+		if a.gate.passed() {
+			return true
+		}
+	}
+	return false
+}
+
 // closeUnclaimedAnswer closes the final answer of a request whose client disconnected before Do received the answer.
 func (r *Request) closeUnclaimedAnswer() {
 	select {
--- a/internal/stress/crowd/flood.go
+++ b/internal/stress/crowd/flood.go
@@ -24,12 +24,16 @@
 	InvalidIDs     FloodKind = "invalid IDs"
 	FieldFlood     FloodKind = "heads of many fields"
 	SmallRequests  FloodKind = "small requests"
+	NoTime         FloodKind = "requests with no time left"
+	NewPaths       FloodKind = "new paths and hosts"
 	InvalidRequest FloodKind = "invalid requests"
 )
 
 // FloodKinds lists all kinds.
 func FloodKinds() []FloodKind {
-	return []FloodKind{HealthChecks, NewClasses, NewTenants, InvalidIDs, FieldFlood, SmallRequests, InvalidRequest}
+	return []FloodKind{
+		HealthChecks, NewClasses, NewTenants, InvalidIDs, FieldFlood, SmallRequests, NoTime, NewPaths, InvalidRequest,
+	}
 }
 
 // Flood is a number of clients that send requests at full speed, each on a connection of its own, until Stop is called.
@@ -47,6 +51,9 @@
 	Clients int
 	// Pipelined is the number of requests that a client sends before it reads the answers, at least 1.
 	Pipelined int
+	// FullSpeed makes the clients write on, Pipelined requests at a time, as fast as the server reads. They read the answers
+	// beside that.
+	FullSpeed bool
 	// Target is the target of a GET request that is served.
 	Target string
 }
@@ -82,6 +89,9 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if o.FullSpeed {
+		go io.Copy(io.Discard, conn) // ends with the connection
+	}
 	in := bufio.NewReader(conn)
 	for {
 		var text strings.Builder
@@ -93,6 +103,9 @@
 			return n
 		}
 		f.Sent.Add(int64(o.Pipelined))
+		if o.FullSpeed {
+			continue
+		}
 		for range o.Pipelined {
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
@@ -108,6 +121,7 @@
 // floodRequest returns the text of a flood's request n of a client.
 func floodRequest(o FloodOptions, client, n int) string {
 	id, target, more := fmt.Sprintf("flood-%d-%d", client, n), o.Target, ""
+	host, timeout := "x", time.Second
 	switch o.Kind {
 	case HealthChecks:
 		target = "/health/ready"
@@ -117,6 +131,10 @@
 		more = fmt.Sprintf("X-Tenant-Id: tenant-%d-%d\r\n", client, n)
 	case InvalidIDs:
 		id += " x"
+	case NoTime:
+		timeout = time.Millisecond
+	case NewPaths:
+		target, host = fmt.Sprintf("%s/%d/%d?obj=%d", target, client, n, n), fmt.Sprintf("host-%d-%d", client, n)
 	case FieldFlood:
 		var fields strings.Builder
 		for i := range 3000 {
@@ -126,5 +144,6 @@
 	case InvalidRequest:
 		return "GET " + target + " HTTP/1.1\r\nHost x\r\n\r\n"
 	}
-	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Timeout-Ms: 1000\r\n%s\r\n", target, id, more)
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n",
+		target, host, id, timeout.Milliseconds(), more)
 }
