h1server: a request that was read keeps its connection's place while the node is held up

Cause: the table of client connections closes a connection with a part of a request after 150 ms where others want its place. Whether more is to come was told from an empty socket. The close was silent. Class of the fault: what the node does is taken for the state of the client, as with the time of uploads.

Change: a connection with a part of a request loses its place only while a read waits for its client; and the end of a body that was read is reported to the table, as the end of a request without a body was before.

TestBufferedRequestRetainsPlace read the bytes of incomplete requests and then nothing, which net/http does not do: it waits for the rest. The test now lets a read wait, for whole requests too; its table of cases is unchanged.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -33,6 +33,9 @@
 // Overflow reports whether the connection exceeds Limits.Active and only gets a response with Retry-After.
 func (c *Conn) Overflow() bool { return c.overflow }
 
+// Partial reports whether a part of a request was received, and not all of it as far as the table was told.
+func (c *Conn) Partial() bool { return c.phase == phasePartial }
+
 // Removed reports whether the connection has left the table.
 func (c *Conn) Removed() bool { return c.phase == phaseRemoved }
 
--- a/internal/downstream/h1server/clientconns.go
+++ b/internal/downstream/h1server/clientconns.go
@@ -134,10 +134,11 @@
 		if victim == nil {
 			return
 		}
-		if c := victim.Owner.(*clientConn); c.stopReadingIfIdle() {
+		c := victim.Owner.(*clientConn)
+		if (!victim.Partial() || c.awaitsClient()) && c.stopReadingIfIdle() {
 			cs.close(c)
 		} else {
-			cs.table.ExtendGrace(now, victim) // closing it would lose a request that has just arrived
+			cs.table.ExtendGrace(now, victim) // closing it would lose a request that has arrived
 		}
 	}
 }
--- a/internal/downstream/h1server/clientconns_test.go
+++ b/internal/downstream/h1server/clientconns_test.go
@@ -107,6 +107,8 @@
 			return c.(*clientConn)
 		}
 		first := open(text)
+		go first.Read(make([]byte, 1)) // net/http waits for the rest of a request, or for the client's end behind a whole one
+		testutil.Until(t, "the read to wait", first.awaitsClient)
 		cs.mu.Lock()
 		cs.start = cs.start.Add(-time.Second) // the handler has not run for a second
 		cs.mu.Unlock()
--- a/internal/downstream/h1server/lingeringclose.go
+++ b/internal/downstream/h1server/lingeringclose.go
@@ -40,8 +40,8 @@
 	if b.remaining > 0 {
 		b.remaining -= int64(n)
 	}
-	if err == io.EOF || b.remaining == 0 {
-		b.conn.bodyUnread.Store(false)
+	if (err == io.EOF || b.remaining == 0) && b.conn.bodyUnread.CompareAndSwap(true, false) {
+		b.conn.requestBuffered()
 	}
 	return n, err
 }
@@ -57,6 +57,13 @@
 	http.NewResponseController(w).EnableFullDuplex()
 }
 
+// requestBuffered reports to the table that the whole request was read, so that the connection keeps its place.
+func (c *clientConn) requestBuffered() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.conns.table.RequestBuffered(c.conns.now(), c.entry)
+}
+
 // answered records that the handler has answered the open request.
 func (c *clientConn) answered() {
 	if c != nil {
--- a/internal/downstream/h1server/readahead.go
+++ b/internal/downstream/h1server/readahead.go
@@ -180,6 +180,14 @@
 	c.unreported = false
 }
 
+// awaitsClient reports whether a Read waits for the client. If none does, all that has arrived may be a whole request that this
+// process has not come to yet.
+func (c *clientConn) awaitsClient() bool {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	return c.inSocketRead
+}
+
 // stopReadingIfIdle reports whether the connection is idle: neither bytes nor the end of the data were received without
 // being reported to the table. If it is idle, nothing more is read from it: a request that arrives later finds the
 // connection closed, and its client sends it again elsewhere.
