h1server: each end of a client connection has a reason, an event and a count

A place taken from a connection, a connection without a place, one closed for the bytes behind its request (more than 64 KiB) and one that net/http closes ended silently.

A connection that ends with a request that may be lost is logged with reason, id and state; dropped bytes are logged; Server.ConnectionEnds counts by reason, and the node logs the counts at its end. 'closed by net/http' stands for its timeouts, malformed requests and resets that it sees first; these are not told apart.

--- a/internal/downstream/h1server/clientconn.go
+++ b/internal/downstream/h1server/clientconn.go
@@ -22,8 +22,9 @@
 	// framing scans the bytes that Read returns. It is guarded by conns.mu, except for its counters, which are atomic.
 	framing      framingScan
 	share        fairshare.Account // of conns.shares
-	reported     bool              // the first Read has reported that bytes were received
-	countsFields bool              // the connection's bytes are HTTP/1 in clear text, so that the fields of a header can be counted
+	end          connEnd
+	reported     bool // the first Read has reported that bytes were received
+	countsFields bool // the connection's bytes are HTTP/1 in clear text, so that the fields of a header can be counted
 	// requestLengths counts the requests so far that had a Content-Length. It is used only with Options.Strict, by the
 	// handlers of the connection's requests, which run one at a time.
 	requestLengths int
@@ -55,12 +56,14 @@
 		return n, err
 	}
 	if !c.scan(p[:n]) {
+		c.endsBecause(endTooManyFields)
 		c.cutOffHeader()
 		return 0, io.EOF
 	}
 	cs := c.conns
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	c.end.requestArrives()
 	open := cs.bytesReceived(c)
 	c.markReported()
 	if !open {
--- a/internal/downstream/h1server/clientconns.go
+++ b/internal/downstream/h1server/clientconns.go
@@ -35,6 +35,7 @@
 
 	start  time.Time // time zero of the durations that the table and shares are given
 	shares fairshare.Ledger
+	ends   [endReasonCount]int64 // number of connections that have ended, by reason; guarded by mu
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -118,6 +119,7 @@
 	if cs.table.BytesReceived(cs.now(), c.entry) {
 		cs.closeVictims()
 		if !cs.table.AssignSlot(c.entry) {
+			c.endsBecause(endNoPlace)
 			cs.close(c)
 		}
 	}
@@ -136,6 +138,7 @@
 		}
 		c := victim.Owner.(*clientConn)
 		if (!victim.Partial() || c.awaitsClient()) && c.stopReadingIfIdle() {
+			c.endsBecause(endPlaceWanted)
 			cs.close(c)
 		} else {
 			cs.table.ExtendGrace(now, victim) // closing it would lose a request that has arrived
@@ -160,6 +163,7 @@
 // was not told, closeIfIdle reports them to the table instead. The caller holds mu.
 func (cs *clientConns) closeIfIdle(entry *connlimit.Conn) {
 	if c := entry.Owner.(*clientConn); c.stopReadingIfIdle() {
+		c.endsBecause(endIdle)
 		cs.close(c)
 	} else {
 		cs.bytesReceived(c)
@@ -172,6 +176,7 @@
 		return nil
 	}
 	cs.table.Remove(c.entry)
+	cs.recordEnd(c)
 	delete(cs.idleHTTP2, c)
 	cs.shares.Close(&c.share)
 	cs.notifyChanged()
--- a/internal/downstream/h1server/eventlog.go
+++ b/internal/downstream/h1server/eventlog.go
@@ -98,6 +98,22 @@
 	}
 }
 
+// connectionEnded logs a connection that ended with a request on it that may be lost.
+func (l *eventLog) connectionEnded(client, id, reason, request string) {
+	if suppressed, ok := l.admit(); ok {
+		l.log.Info("connection ended under a request", "client", client, "id", id, "reason", reason, "request", request,
+			"suppressed", suppressed)
+	}
+}
+
+// excessDropped logs that the bytes that a client sent behind its request were dropped, so that its connection ends.
+func (l *eventLog) excessDropped(e *exchange) {
+	if suppressed, ok := l.admit(); ok {
+		l.log.Info("bytes behind a request dropped", "id", e.payload.Header.Get("X-Request-Id"), "client", e.r.RemoteAddr,
+			"suppressed", suppressed)
+	}
+}
+
 // headerCutOff logs a connection that was ended because of the number of fields in a header.
 func (l *eventLog) headerCutOff(client string) {
 	if suppressed, ok := l.admit(); ok {
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -43,8 +43,13 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := clientConnOf(r)
 	conn.watchBody(w, r)
+	conn.trackRequest(r)
 	cost := s.serveRequest(w, r, conn)
 	conn.answered()
+	if r.Close || w.Header().Get("Connection") == "close" {
+		conn.endsBecause(endWithAnswer)
+	}
+	conn.requestIs(requestUnread)
 	s.awaitTurn(w, r, conn, cost)
 }
 
@@ -88,7 +93,9 @@
 	}
 	defer e.endUpload()
 	defer e.watchClient()()
+	conn.requestIs(requestTaken)
 	answer, err := e.destination.Cluster.Do(e.ctx, e.request)
+	conn.requestIs(requestAnswering)
 	if conn != nil {
 		conn.allowNextRequest()
 	}
@@ -156,10 +163,12 @@
 		return true
 	}
 	if e.r.ProtoMajor == 1 && e.payload.Upload == nil && e.conn.checkDisconnected() {
+		e.conn.endsBecause(endByClient)
 		panic(http.ErrAbortHandler) // no attempt may begin for a client that has disconnected
 	}
 	switch open, overflow := e.conn.beginRequest(e.r.ProtoMajor == 2); {
 	case !open:
+		e.conn.endsBecause(endPlaceLost)
 		panic(http.ErrAbortHandler) // the client sends the request again elsewhere
 	case overflow, e.server.rejecting.Load():
 		e.w.Header().Set("Connection", "close")
@@ -255,15 +264,14 @@
 	case errors.Is(err, engine.ErrRetired) && e.r.Context().Err() == nil:
 		a = engine.Answer{Verdict: engine.Rejected, RetryAfter: e.destination.MaxRetryAfter}
 	case err != nil:
+		e.conn.endsBecause(endByClient)
 		panic(http.ErrAbortHandler) // the client has disconnected
 	}
 	if a.Verdict != engine.Served {
 		e.server.events.notServed(e, a)
 	}
 	e.setWriteDeadline()
-	if e.conn != nil && (e.conn.mustFreePlace() || e.conn.hasDropped()) {
-		e.w.Header().Set("Connection", "close")
-	}
+	e.closeIfNeeded()
 	answer, ok := a.Value.(*h1client.Answer)
 	if ok && e.destination.ResponseEdits != nil {
 		e.destination.ResponseEdits.Apply(answer.Header)
@@ -281,6 +289,21 @@
 	}
 }
 
+// closeIfNeeded has the connection closed with the answer if its place is wanted or bytes of its client were dropped.
+func (e *exchange) closeIfNeeded() {
+	if e.conn == nil {
+		return
+	}
+	dropped := e.conn.hasDropped()
+	if dropped {
+		e.conn.endsBecause(endExcessBytes)
+		e.server.events.excessDropped(e)
+	}
+	if dropped || e.conn.mustFreePlace() {
+		e.w.Header().Set("Connection", "close")
+	}
+}
+
 // setWriteDeadline limits the time that the client may take to read its answer.
 func (e *exchange) setWriteDeadline() {
 	if e.payload.Upload != nil { // the engine may set the request's deadline only when the upload ends
@@ -297,6 +320,10 @@
 	complete := err == nil
 	if !complete && e.r.Context().Err() == nil {
 		e.server.events.cutOff(e, sent, err)
+		e.conn.endsBecause(endAnswerCutOff)
+	}
+	if !complete {
+		e.conn.endsBecause(endByClient)
 	}
 	if !e.r.ProtoAtLeast(1, 1) && e.conn != nil { // only a reset shows a client of HTTP/1.0 that the response is incomplete
 		e.conn.resetUnlessComplete(complete)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -84,6 +84,10 @@
 		running.httpServer.CloseIdleConnections() // a request on an idle connection would no longer be answered
 	})
 	defer abort.Stop()
+	defer func() {
+		n.log.Info("client connections ended", "reasons", running.httpServer.ConnectionEnds(),
+			"turn_waits", running.httpServer.Shares().Waits)
+	}()
 	if running.restart.successorServing() {
 		n.drainToSuccessor(shutdownCtx, running, s, plan)
 		n.log.Info("clients left to the successor",
