--- a/cmd/yokestall-node/shapesoak_test.go
+++ b/cmd/yokestall-node/shapesoak_test.go
@@ -40,16 +40,25 @@
 			}).Stop
 		}})
 	}
-	for _, kind := range []crowd.FloodKind{crowd.HealthChecks, crowd.InvalidIDs, crowd.InvalidRequest} {
+	for _, kind := range crowd.FloodKinds() {
 		list = append(list, disruption{string(kind), func(random *rand.Rand, addr string) func() {
 			return crowd.StartFlood(crowd.FloodOptions{
-				Addr: addr, Kind: kind, Clients: 1 + random.IntN(6), Pipelined: 1 + random.IntN(20), Target: "/read",
+				Addr: addr, Kind: kind, Clients: 1 + random.IntN(6), Pipelined: 1 + random.IntN(100), Target: "/read",
+				FullSpeed: random.IntN(2) == 0,
 			}).Stop
 		}})
 	}
 	return list
 }
 
+// ordinaryClients are clients that are judged apart from the drawn ones.
+func ordinaryClients(addr string) crowd.OrdinaryOptions {
+	return crowd.OrdinaryOptions{
+		Addr: addr, Target: "/read", Clients: 3, Requests: 60, Every: 20 * time.Millisecond,
+		Timeout: 600 * time.Millisecond, Grace: answerGrace,
+	}
+}
+
 // Guards against any combination of who pauses, where, for how long, in which framing and size and of which class, beside two
 // disruptions at a time, that costs a request its final answer. The seeds draw the node's settings too.
 func TestShapeSoak(t *testing.T) {
@@ -73,11 +82,17 @@
 			for _, d := range kinds[:2] {
 				defer d.start(random, addr)()
 			}
+			ordinaryReports := make(chan crowd.OrdinaryReport, 1)
+			go func() { ordinaryReports <- crowd.RunOrdinary(ordinaryClients(addr)) }()
 			report := checkShapes(t, shapes.Options{Addr: addr, AtOnce: soakAtOnce, Every: 20 * time.Millisecond, MayRefuse: true},
 				shapes.DrawMany(uint64(seed), soakExchanges, func(random *rand.Rand) shapes.Shape {
 					return shapes.Any(random, shapes.AllClasses(), shapes.Uploads)
 				}))
-			t.Logf("%d exchanges kept the rules, %d were refused", report.Passed, report.Refused)
+			ordinary := <-ordinaryReports
+			t.Logf("%d exchanges kept the rules, %d were refused; ordinary clients: %v", report.Passed, report.Refused, ordinary)
+			if ordinary.Late > 0 {
+				t.Errorf("ordinary clients: %v; want none late or lost", ordinary)
+			}
 		})
 	}
 }
--- a/internal/app/pauses_test.go
+++ b/internal/app/pauses_test.go
@@ -114,3 +114,44 @@
 		}
 	}
 }
+
+// Guards against sound answers that are cut off because they end after the client's time, for each pair of protocols of clients and
+// servers, safe requests and others, with hedged requests and without.
+func TestLateAnswersOverAllProtocols(t *testing.T) {
+	const exchanges, atOnce, timeout = 12, 4, "900"
+	keys, authority := matrixKeys(t)
+	for i, front := range webpeer.AllProtocols() {
+		for j, back := range webpeer.AllProtocols() {
+			hedging := (i+j)%2 == 0
+			t.Run(fmt.Sprintf("%v/%v, hedging %v", front, back, hedging), func(t *testing.T) {
+				t.Parallel()
+				program := strings.Replace(matrixProgram, "attempts = 3", fmt.Sprintf("attempts = 3\nsecond_copies = %v", hedging), 1)
+				var addrs []string
+				for range 3 {
+					addrs = append(addrs, startHandler(t, back, keys, writePausingAnswer))
+				}
+				c := newCellWithProgram(t, program, front, back, keys, authority, config.Listener{HTTP2: 128}, addrs...)
+				random := rand.New(rand.NewPCG(3, 0))
+				var running sync.WaitGroup
+				places := make(chan struct{}, atOnce)
+				for i := range exchanges {
+					p, method, path := drawPausingAnswer(random), "GET", "/x"
+					p.size, p.pauseAt = p.size+64<<10, 1+random.IntN(p.size)
+					p.pause += 600 * time.Millisecond
+					if i%2 == 1 {
+						method, path = "POST", "/pay/x"
+					}
+					places <- struct{}{}
+					running.Go(func() {
+						resp, body, err := c.exchange(method, path+p.query(), "", nil, 0, "X-Timeout-Ms", timeout)
+						if err != nil || resp.StatusCode != http.StatusOK || !bytes.Equal(body, testutil.Bytes(p.size)) {
+							t.Errorf("%s %+v: answer %v, %d bytes, error %v; want 200 and the whole body", method, p, resp, len(body), err)
+						}
+						<-places
+					})
+				}
+				running.Wait()
+			})
+		}
+	}
+}
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -26,6 +26,7 @@
 //	Balancer.Outcome   balancer.go        updates score and breaker (recordOutcome, outcomes.go), latencies
 //	                                      (latency.go) and the concurrency limit (concurrencylimit.go)
 //	AnswerStalled      stalls.go          hedges or replaces an attempt whose answer pauses
+//	AnswerDue          begunanswers.go    chooses the begun answer that is passed on at the deadline
 //	retry              retry.go           requeues after a backoff, or gives up (giveUp, admission.go)
 //
 // While a request is open, sweep (sweep.go) runs every sweepInterval. A sweep sheds queued requests that
