policy: classes take turns in the queue

Cause: the queue is ordered by weight over latency alone. While the concurrency limit is reached and a class of more value always has a request waiting, those of another class are never sent, and are shed.

Change: after four requests of one class in a row from the queue, the first queued request of another class is sent (classturns.go). The order within the rest is as before.

--- a/cmd/yokestall-node/floods_test.go
+++ b/cmd/yokestall-node/floods_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// Guards against one client whose many connections keep the requests of another class from being sent.
+func TestManyConnectionsStarveNoOtherClass(t *testing.T) {
+	program := testutil.BuildProgram(t, "cmd/yokestall-node")
+	r := newRigWith(t, rigOptions{memoryMB: memoryLimitMB, boxes: 4, executable: program})
+	r.startNode()
+	for i := range 20 { // the node learns how long the endpoints take
+		for _, class := range []string{"read", "pay"} {
+			request(t, r.Addr, class, fmt.Sprintf("first-%s-%d", class, i), 5*time.Second, nil)
+		}
+	}
+	flood := crowd.StartFlood(crowd.FloodOptions{
+		Addr: r.Addr, Kind: crowd.SmallRequests, Clients: 24, Pipelined: 100, FullSpeed: true, Target: "/read",
+	})
+	defer flood.Stop()
+	report := crowd.RunOrdinary(crowd.OrdinaryOptions{
+		Addr: r.Addr, Method: http.MethodPost, Target: "/pay", Clients: 6, Requests: 80, Every: 20 * time.Millisecond,
+		Timeout: 436 * time.Millisecond, Grace: answerGrace,
+	})
+	if report.Late > 0 || report.Served < report.Requests*95/100 {
+		t.Errorf("ordinary clients: %v; want none late and 95 of 100 served", report)
+	}
+}
+
 // checkFlood runs a flood and checks the answers of another client meanwhile.
 func checkFlood(t *testing.T, kind crowd.FloodKind, pipelined int) {
 	const (
--- a/internal/stress/crowd/ordinary.go
+++ b/internal/stress/crowd/ordinary.go
@@ -13,7 +13,8 @@
 // OrdinaryOptions configure clients that send one request after the other.
 type OrdinaryOptions struct {
 	Addr     string
-	Target   string // target of a GET request that is served
+	Method   string // GET if it is empty; no request has a body
+	Target   string // target of a request that is served
 	Clients  int
 	Requests int           // number of requests of each client
 	Every    time.Duration // time between two requests of a client
@@ -99,8 +100,12 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	c.conn.SetDeadline(time.Now().Add(10 * c.options.Timeout))
-	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: ordinary-%d-%d-%d\r\nX-Timeout-Ms: %d\r\n\r\n",
-		c.options.Target, c.number, n, time.Now().UnixNano(), c.options.Timeout.Milliseconds())
+	method, length := http.MethodGet, ""
+	if c.options.Method != "" && c.options.Method != method {
+		method, length = c.options.Method, "Content-Length: 0\r\n"
+	}
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: ordinary-%d-%d-%d\r\nX-Timeout-Ms: %d\r\n"+length+"\r\n",
+		method, c.options.Target, c.number, n, time.Now().UnixNano(), c.options.Timeout.Milliseconds())
 	if err != nil {
 		c.close()
 		return 0
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -60,6 +60,7 @@
 		return
 	}
 	b.refresh(now)
+	b.dispatchOtherClass(now)
 	waiting, capacityExhausted := b.queue[:0], false
 	for _, r := range b.queue {
 		var e *endpoint
@@ -69,8 +70,7 @@
 		switch {
 		case r.done:
 		case e != nil:
-			r.queued = false
-			b.send(now, r, e)
+			b.sendQueued(now, r, e)
 		case b.health.closedBreakers+b.health.awaitingTrial == 0:
 			r.queued = false
 			b.giveUp(r)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -34,6 +34,7 @@
 	requests     map[RequestID]*request // requests that are not done or have attempts in flight
 	openRequests []*request             // requests that are not done
 	queue        []*request             // requests that wait for capacity, in the order of precedes
+	turn         classTurn              // whose turn it is in the queue
 	freeRequests []*request             // records to be reused
 	sweepAt      time.Duration          // time of the next sweep; never if none is scheduled
 
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -15,6 +15,7 @@
 //	Balancer.Request   balancer.go        sets deadlines (request.go) and weight (quotas.go)
 //	enqueue            admission.go       queues it, in the order of weight divided by
 //	                                      the class's mean latency (class.queueCost)
+//	dispatchOtherClass classturns.go      lets classes take turns
 //	dispatch           admission.go       sends while there is capacity, gives up if every breaker is open
 //	refresh            scoring.go         updates subset (subset.go), breakers (circuitbreaker.go), scores
 //	pick               selection.go       picks a half-open endpoint or the better of two random candidates
