--- a/internal/downstream/h1server/bodyarrival.go
+++ b/internal/downstream/h1server/bodyarrival.go
@@ -111,7 +111,7 @@
 
 // looked records that a number of bytes have arrived that net/http has not returned. Where a read waits for the client, the look
 // tells nothing: the read takes the bytes at once and tells when.
-func (b *bodyArrival) looked(now time.Duration, unread int64) {
+func (b *bodyArrival) looked(unread int64) {
 	if b.state != arriving {
 		return
 	}
--- a/internal/downstream/h1server/bodyarrival_test.go
+++ b/internal/downstream/h1server/bodyarrival_test.go
@@ -133,7 +133,7 @@
 // look looks at the socket.
 func (m *arrivalModel) look() {
 	m.body.window = max(leastWindow, m.window/2)
-	m.body.looked(m.now, m.ahead+m.queued)
+	m.body.looked(m.ahead + m.queued)
 }
 
 // check compares what is known with what happened.
--- a/internal/downstream/h1server/eventlog.go
+++ b/internal/downstream/h1server/eventlog.go
@@ -94,7 +94,8 @@
 // shareUsedUp logs that a connection has used up its share of the server's time, and waits for its turn from now on.
 func (l *eventLog) shareUsedUp(r *http.Request) {
 	if suppressed, ok := l.admit(); ok {
-		l.log.Info("connection awaits its turn", "id", r.Header.Get("X-Request-Id"), "client", r.RemoteAddr, "suppressed", suppressed)
+		l.log.Info("connection awaits its turn", "id", r.Header.Get("X-Request-Id"), "client", r.RemoteAddr,
+			"suppressed", suppressed)
 	}
 }
 
--- a/internal/downstream/h1server/share.go
+++ b/internal/downstream/h1server/share.go
@@ -8,9 +8,9 @@
 	"yokestall/internal/fairshare"
 )
 
-// awaitTurn charges an answer to its connection, which is nil if it has no place in the table. If the connection has used up its
-// share, awaitTurn sends the answer and waits for the connection's turn, so that its next request is read after that. A connection
-// that closes with its answer does not wait.
+// awaitTurn charges an answer to its connection, which is nil if it has no place in the table. If the connection has used up
+// its share, awaitTurn sends the answer and waits for the connection's turn, so that its next request is read after that. A
+// connection that closes with its answer does not wait.
 func (s *Server) awaitTurn(w http.ResponseWriter, r *http.Request, conn *clientConn, cost fairshare.Cost) {
 	if conn == nil {
 		return
--- a/internal/downstream/h1server/uploaddeadline.go
+++ b/internal/downstream/h1server/uploaddeadline.go
@@ -59,7 +59,7 @@
 	if c.body.open() {
 		queued, window := c.receiveQueue()
 		c.body.window = window
-		c.body.looked(now, int64(len(c.readAhead))+queued)
+		c.body.looked(int64(len(c.readAhead)) + queued)
 	}
 	return c.body.elapsed(now)
 }
--- a/internal/downstream/h2server/share_test.go
+++ b/internal/downstream/h2server/share_test.go
@@ -1,5 +1,7 @@
 package h2server_test
 
+//lint:file-ignore SA1019 golang.org/x/net/http2 gives control over the connection of a client
+
 import (
 	"context"
 	"fmt"
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -8,8 +8,8 @@
 	"yokestall/policy"
 )
 
-// balancerAnswerTimeout is how long after the end of a request's attempts at the deadline the engine waits for the Balancer to reject or fail the
-// request before the engine fails it.
+// balancerAnswerTimeout is how long after the end of a request's attempts at the deadline the engine waits for the Balancer
+// to reject or fail the request before the engine fails it.
 const balancerAnswerTimeout = 5 * time.Millisecond
 
 // ErrClientDisconnected is returned for a request whose client disconnected before the final answer. No final answer is
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -26,11 +26,11 @@
 	localTime = 10 * time.Millisecond
 	// burstTime is how far a connection may be ahead of its time.
 	burstTime = time.Second
-	// reserveFactor is the ratio of a connection's time to its reserve. An answer that the reserve covers takes nothing of the time
-	// of all connections, so that an ordinary connection does not wait for others.
+	// reserveFactor is the ratio of a connection's time to its reserve. An answer that the reserve covers takes nothing of
+	// the time of all connections, so that an ordinary connection does not wait for others.
 	reserveFactor = 10
-	// sharedLocalTime and sharedForwardedTime are what an answer that the connection's reserve does not cover takes of the time of
-	// all connections.
+	// sharedLocalTime and sharedForwardedTime are what an answer that the connection's reserve does not cover takes of the
+	// time of all connections.
 	sharedLocalTime     = 500 * time.Microsecond
 	sharedForwardedTime = time.Microsecond
 	// sharedBurstTime is how far all connections together may be ahead of their time.
--- a/internal/stress/crowd/ordinary.go
+++ b/internal/stress/crowd/ordinary.go
@@ -104,8 +104,9 @@
 	if c.options.Method != "" && c.options.Method != method {
 		method, length = c.options.Method, "Content-Length: 0\r\n"
 	}
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: ordinary-%d-%d-%d\r\nX-Timeout-Ms: %d\r\n"+length+"\r\n",
-		method, c.options.Target, c.number, n, time.Now().UnixNano(), c.options.Timeout.Milliseconds())
+	id := fmt.Sprintf("ordinary-%d-%d-%d", c.number, n, time.Now().UnixNano())
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n",
+		method, c.options.Target, id, c.options.Timeout.Milliseconds(), length)
 	if err != nil {
 		c.close()
 		return 0
