--- a/cmd/yokestall-node/slowanswers_test.go
+++ b/cmd/yokestall-node/slowanswers_test.go
@@ -306,6 +306,7 @@
 // request of a class that may be sent again gets another endpoint's answer in time. The time is long enough for an answer that
 // waits for its turn to have shown no life for a second when it ends; of a shorter time, see TestBegunAnswersThatNeverEnd.
 func TestAnswersThatNeverEnd(t *testing.T) {
+	t.Parallel()
 	const timeout = 2 * time.Second
 	for _, hedging := range []bool{true, false} {
 		s, addr := startPlanServers(t, hedging)
@@ -331,6 +332,7 @@
 // Guards against a part of an answer that passes for the whole, and against a client that waits without an end: an answer that
 // has begun, shows life when the client's time ends and then never ends. The client gets its first bytes in time.
 func TestBegunAnswersThatNeverEnd(t *testing.T) {
+	t.Parallel()
 	const timeout = 600 * time.Millisecond
 	var plans []answerPlan
 	for _, framing := range []string{"chunked", "close"} {
