Fake proxy: send a request without a body once

Cause, shown for the rig: net/http's transport sends a GET again that a server has closed a kept connection under, if its body can be repeated. The fake proxy cleared GetBody to prevent that, but http.NoBody counts as repeatable too. When the server was down by then, the proxy reported the refused second connection, so that the external processor rightly took the attempt as never sent and picked another endpoint.

Change: the body is a plain reader. A finding of TestRun now names the servers, paths and times, so that another one can be traced.

--- a/internal/fake/appbox/requests.go
+++ b/internal/fake/appbox/requests.go
@@ -24,9 +24,10 @@
 
 // Request is a complete request that a server received.
 type Request struct {
-	ID  string    // value of the header X-Request-ID
-	Key string    // value of the header Idempotency-Key
-	At  time.Time // time at which the request was complete
+	ID   string    // value of the header X-Request-ID
+	Key  string    // value of the header Idempotency-Key
+	Path string    // method and path
+	At   time.Time // time at which the request was complete
 }
 
 // ServeHTTP answers a request, after the delay that is set, with the server's name and the request's ID, or with status
@@ -36,7 +37,12 @@
 	if err != nil {
 		return // an incomplete request is not recorded
 	}
-	request := Request{ID: r.Header.Get("X-Request-Id"), Key: r.Header.Get("Idempotency-Key"), At: time.Now()}
+	request := Request{
+		ID:   r.Header.Get("X-Request-Id"),
+		Key:  r.Header.Get("Idempotency-Key"),
+		Path: r.Method + " " + r.URL.Path,
+		At:   time.Now(),
+	}
 	s.record(request)
 	if delay := time.Duration(s.delay.Load()); delay > 0 {
 		ctx, cancel := context.WithTimeout(r.Context(), delay)
--- a/internal/fake/proxy/upstream.go
+++ b/internal/fake/proxy/upstream.go
@@ -56,10 +56,8 @@
 		return "", err
 	}
 	r.Header = header
-	if len(q.Body) == 0 {
-		r.Body = http.NoBody
-	}
-	r.GetBody = nil // without GetBody the transport does not retry the request
+	// The transport sends a request again if it can repeat the body; http.NoBody is such a body too.
+	r.Body, r.GetBody = io.NopCloser(bytes.NewReader(q.Body)), nil
 	if x.proxy.OnSend != nil {
 		x.proxy.OnSend(server, time.Now())
 	}
--- a/internal/stress/callers/check.go
+++ b/internal/stress/callers/check.go
@@ -56,12 +56,12 @@
 // stays open.
 func (r *rig) check(processor *extproc.Server) {
 	received := r.receivedRequests()
-	for id, n := range received {
-		if strings.HasPrefix(id, kindPay+"-") && n > 1 {
-			r.report("request %s (unsafe) reached a server %d times", id, n)
+	for id, receipts := range received {
+		if strings.HasPrefix(id, kindPay+"-") && len(receipts) > 1 {
+			r.report("request %s (unsafe) reached a server %d times: %v", id, len(receipts), receipts)
 		}
 		key, isDuplicate := strings.CutSuffix(id, duplicateSuffix)
-		if isDuplicate && received[key] > 0 && !r.retryAllowed[key] {
+		if isDuplicate && len(received[key]) > 0 && !r.retryAllowed[key] {
 			r.report("duplicate %s reached a server in addition to the first request with the same idempotency key", id)
 		}
 	}
@@ -75,9 +75,20 @@
 	}
 }
 
-// receivedRequests returns, by request ID, how often each request reached a server of the cluster.
-func (r *rig) receivedRequests() map[string]int {
-	received := map[string]int{}
+// receipt is one arrival of a request at a server of the cluster.
+type receipt struct {
+	server, path string
+	at           time.Time
+}
+
+// String implements fmt.Stringer.
+func (r receipt) String() string {
+	return fmt.Sprintf("%s %s at %s", r.server, r.path, r.at.Format("05.000000"))
+}
+
+// receivedRequests returns, by request ID, the arrivals of each request at the servers of the cluster.
+func (r *rig) receivedRequests() map[string][]receipt {
+	received := map[string][]receipt{}
 	for _, server := range r.servers {
 		seen, lost := server.Seen()
 		if lost > 0 {
@@ -87,7 +98,7 @@
 			continue // faulty proxies send requests here, not the load balancer
 		}
 		for _, request := range seen {
-			received[request.ID]++
+			received[request.ID] = append(received[request.ID], receipt{server.Name, request.Path, request.At})
 		}
 	}
 	return received
