h1server: a connection keeps its place while a handler has its request

Cause: whether the node waits for the client was told by a Read of the socket in progress. net/http starts such a Read, to detect a disconnect, inside the read that reaches the body's end, and before the handler of a request without a body.

Change: once a handler has the request, a Read in progress says nothing. The client is waited for if the handler reads the body and not a byte came for connlimit.PartialGrace of that read. watchedBody's report to the table, which this replaces, is gone.

--- a/internal/downstream/h1server/clientconns.go
+++ b/internal/downstream/h1server/clientconns.go
@@ -137,7 +137,7 @@
 			return
 		}
 		c := victim.Owner.(*clientConn)
-		if (!victim.Partial() || c.awaitsClient()) && c.stopReadingIfIdle() {
+		if (!victim.Partial() || c.awaitsClient(now)) && c.stopReadingIfIdle() {
 			c.endsBecause(endPlaceWanted)
 			cs.close(c)
 		} else {
@@ -202,6 +202,7 @@
 		delete(cs.idleHTTP2, c)
 		return
 	}
+	c.answerFinished()
 	c.framing.expectHeader()
 	c.lingers.Store(false) // net/http has read the body to its end
 	cs.table.ResponseSent(cs.now(), c.entry)
--- a/internal/downstream/h1server/clientconns_test.go
+++ b/internal/downstream/h1server/clientconns_test.go
@@ -108,7 +108,7 @@
 		}
 		first := open(text)
 		go first.Read(make([]byte, 1)) // net/http waits for the rest of a request, or for the client's end behind a whole one
-		testutil.Until(t, "the read to wait", first.awaitsClient)
+		testutil.Until(t, "the read to wait", func() bool { return first.awaitsClient(0) })
 		cs.mu.Lock()
 		cs.start = cs.start.Add(-time.Second) // the handler has not run for a second
 		cs.mu.Unlock()
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -42,6 +42,7 @@
 // stream, has to end without a complete answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := clientConnOf(r)
+	conn.handlerBegins()
 	conn.watchBody(w, r)
 	conn.trackRequest(r)
 	cost := s.serveRequest(w, r, conn)
--- a/internal/downstream/h1server/lingeringclose.go
+++ b/internal/downstream/h1server/lingeringclose.go
@@ -36,12 +36,14 @@
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
+	b.conn.bodyReadBegins()
 	n, err := b.ReadCloser.Read(p)
+	b.conn.bodyReadEnds()
 	if b.remaining > 0 {
 		b.remaining -= int64(n)
 	}
-	if (err == io.EOF || b.remaining == 0) && b.conn.bodyUnread.CompareAndSwap(true, false) {
-		b.conn.requestBuffered()
+	if err == io.EOF || b.remaining == 0 {
+		b.conn.bodyUnread.Store(false)
 	}
 	return n, err
 }
@@ -57,13 +59,6 @@
 	http.NewResponseController(w).EnableFullDuplex()
 }
 
-// requestBuffered reports to the table that the whole request was read, so that the connection keeps its place.
-func (c *clientConn) requestBuffered() {
-	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	c.conns.table.RequestBuffered(c.conns.now(), c.entry)
-}
-
 // answered records that the handler has answered the open request.
 func (c *clientConn) answered() {
 	if c != nil {
--- a/internal/downstream/h1server/readahead.go
+++ b/internal/downstream/h1server/readahead.go
@@ -8,7 +8,9 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
+	"yokestall/internal/connlimit"
 	"yokestall/internal/upstream/h1client"
 )
 
@@ -41,6 +43,10 @@
 
 	body *bodyArrival // arrival of the body of the open request; nil if it is not tracked
 
+	handled       bool          // a handler has the latest request, and its answer was not finished yet
+	readsBody     bool          // the handler reads the request's body, as far as it knows not to its end
+	bodyWaitSince time.Duration // start of that read, or arrival of the latest byte if that was later
+
 	unreported   bool                  // bytes were read that were not reported to the table yet
 	readingEnded bool                  // the connection is being closed, so nothing more is read
 	target       []byte                // buffer of the Read in progress
@@ -147,6 +153,7 @@
 		c.targetErr = io.EOF
 	default:
 		c.targetLength, c.unreported = n, true
+		c.bodyWaitSince = c.conns.sinceStart()
 	}
 	return true
 }
@@ -180,12 +187,47 @@
 	c.unreported = false
 }
 
-// awaitsClient reports whether a Read waits for the client. If none does, all that has arrived may be a whole request that this
-// process has not come to yet.
-func (c *clientConn) awaitsClient() bool {
+// handlerBegins records that a handler has the latest request.
+func (c *clientConn) handlerBegins() {
+	if c != nil {
+		c.readMu.Lock()
+		defer c.readMu.Unlock()
+		c.handled, c.readsBody = true, false
+	}
+}
+
+// answerFinished records that the answer to the latest request was sent.
+func (c *clientConn) answerFinished() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.handled = false
+}
+
+// bodyReadBegins records that the handler reads the request's body.
+func (c *clientConn) bodyReadBegins() {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	return c.inSocketRead
+	c.readsBody, c.bodyWaitSince = true, c.conns.sinceStart()
+}
+
+// bodyReadEnds records that the handler's read of the request's body has returned.
+func (c *clientConn) bodyReadEnds() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.readsBody = false
+}
+
+// awaitsClient reports whether the client has not sent the whole request, as far as this process can tell. Without a handler, the
+// client is waited for while a Read is in progress; if none is, all that has arrived may be a whole request that this process has
+// not come to yet. With a handler, that says nothing: net/http reads on to detect a disconnect once the request is whole. The
+// client is waited for then if it has sent nothing for connlimit.PartialGrace of a read of the body.
+func (c *clientConn) awaitsClient(now time.Duration) bool {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	if !c.handled {
+		return c.inSocketRead
+	}
+	return c.readsBody && now-c.bodyWaitSince >= connlimit.PartialGrace
 }
 
 // stopReadingIfIdle reports whether the connection is idle: neither bytes nor the end of the data were received without
