Test rigs start processes at addresses of their own

Cause: the platform stand-in and the kill test choose a port of 127.0.0.1, close it and start a process that listens there; connections and listeners of other rigs take ports of the same address in between.

--- a/cmd/yokestall/kill_test.go
+++ b/cmd/yokestall/kill_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"yokestall/internal/fake/appbox"
+	"yokestall/internal/fake/loopback"
 	"yokestall/internal/testutil"
 )
 
@@ -70,7 +71,7 @@
 // settings line that turns on the log of idempotency keys; if it is empty, the program has no such log.
 func newKillTest(t *testing.T, log string) *killTest {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0") // reserves a free port, which the program listens on after each start
+	l, err := loopback.Listen() // reserves a free port, which the program listens on after each start
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fake/fleet/process.go
+++ b/internal/fake/fleet/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"yokestall/internal/fake/loopback"
 )
 
 // Process is a process of the program that can be started and killed repeatedly, and keeps its folder and its address.
@@ -49,11 +50,9 @@
 	maxLogInError    = 2000 // bytes
 )
 
-// NewProcess returns a process that has not been started, with a free port on a random address in 127.0.0.0/8. With a
-// shared address such as 127.0.0.1, a process of another rig could get the port while this process is dead, and with
-// the port the clients of this process.
+// NewProcess returns a process that has not been started, with a free port on an address of its own (loopback.Listen).
 func NewProcess(dir string, command, env []string) (*Process, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)))
+	l, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fake/platform/socket.go
+++ b/internal/fake/platform/socket.go
@@ -5,12 +5,14 @@
 	"net"
 	"os"
 	"syscall"
+
+	"yokestall/internal/fake/loopback"
 )
 
 // openSocket chooses a free address for clients. With Options.PassSocket, the platform keeps the listening socket open
 // and passes it to processes.
 func (p *Platform) openSocket() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	if err != nil {
 		return err
 	}
