Flood tests run their flood in a process of its own

Cause, shown: the clients of the flood and the ordinary clients, whose times are judged, shared one process with the race detector. Two node tests at once beside six busy processes: 188 to 211 of 240 served, 6 to 9 late, the slowest after 1.4 s, while the node took less processor than each busy process and the test more than all. Making the flood's fields once: 208 to 227 served, 1 to 3 late.

Bounds, kinds and numbers are as before; a flood that sent nothing is a failure now.

--- a/cmd/yokestall-node/floods_test.go
+++ b/cmd/yokestall-node/floods_test.go
@@ -11,6 +11,9 @@
 	"yokestall/internal/testutil"
 )
 
+// floodsCommand is the program that runs a flood in a process of its own.
+const floodsCommand = "internal/stress/crowd/floods"
+
 // Guards against clients that make others wait, or memory grow, because they send small or unsound requests at full speed.
 func TestFloodsDelayNobody(t *testing.T) {
 	for _, kind := range crowd.FloodKinds() {
@@ -22,7 +25,7 @@
 
 // Guards against few clients that take the processor from all others, whatever they send and whoever answers it.
 func TestFewConnectionsDelayNobody(t *testing.T) {
-	program := testutil.BuildProgram(t, "cmd/yokestall-node")
+	program, floods := testutil.BuildProgram(t, "cmd/yokestall-node"), testutil.BuildProgram(t, floodsCommand)
 	for _, kind := range crowd.FloodKinds() {
 		clientNumbers := []int{24}
 		if kind == crowd.NoTime {
@@ -35,15 +38,21 @@
 				for i := range 20 { // the node learns how long the endpoints take
 					request(t, r.Addr, "read", fmt.Sprintf("first-%d", i), 5*time.Second, nil)
 				}
-				flood := crowd.StartFlood(crowd.FloodOptions{
+				flood, err := crowd.StartFloodProcess(floods, crowd.FloodOptions{
 					Addr: r.Addr, Kind: kind, Clients: clients, Pipelined: 100, FullSpeed: true, Target: "/read",
 				})
-				defer flood.Stop()
+				if err != nil {
+					t.Fatal(err)
+				}
 				report := crowd.RunOrdinary(crowd.OrdinaryOptions{
 					Addr: r.Addr, Target: "/read", Clients: 6, Requests: 40, Every: 20 * time.Millisecond,
 					Timeout: 436 * time.Millisecond, Grace: answerGrace,
 				})
-				t.Logf("%v; %d requests of the flood", report, flood.Sent.Load())
+				sent, err := flood.Stop()
+				t.Logf("%v; %d requests of the flood, error %v", report, sent, err)
+				if err != nil || sent == 0 {
+					t.Errorf("the flood sent %d requests, error %v", sent, err)
+				}
 				if report.Late > 0 || report.Served < report.Requests*95/100 {
 					t.Errorf("ordinary clients: %v; want none late and 95 of 100 served", report)
 				}
@@ -54,7 +63,7 @@
 
 // Guards against one client whose many connections keep the requests of another class from being sent.
 func TestManyConnectionsStarveNoOtherClass(t *testing.T) {
-	program := testutil.BuildProgram(t, "cmd/yokestall-node")
+	program, floods := testutil.BuildProgram(t, "cmd/yokestall-node"), testutil.BuildProgram(t, floodsCommand)
 	r := newRigWith(t, rigOptions{memoryMB: memoryLimitMB, boxes: 4, executable: program})
 	r.startNode()
 	for i := range 20 { // the node learns how long the endpoints take
@@ -62,14 +71,19 @@
 			request(t, r.Addr, class, fmt.Sprintf("first-%s-%d", class, i), 5*time.Second, nil)
 		}
 	}
-	flood := crowd.StartFlood(crowd.FloodOptions{
+	flood, err := crowd.StartFloodProcess(floods, crowd.FloodOptions{
 		Addr: r.Addr, Kind: crowd.SmallRequests, Clients: 24, Pipelined: 100, FullSpeed: true, Target: "/read",
 	})
-	defer flood.Stop()
+	if err != nil {
+		t.Fatal(err)
+	}
 	report := crowd.RunOrdinary(crowd.OrdinaryOptions{
 		Addr: r.Addr, Method: http.MethodPost, Target: "/pay", Clients: 6, Requests: 40, Every: 20 * time.Millisecond,
 		Timeout: 436 * time.Millisecond, Grace: answerGrace,
 	})
+	if sent, err := flood.Stop(); err != nil || sent == 0 {
+		t.Errorf("the flood sent %d requests, error %v", sent, err)
+	}
 	if report.Late > 0 || report.Served < report.Requests*95/100 {
 		t.Errorf("ordinary clients: %v; want none late and 95 of 100 served", report)
 	}
--- a/cmd/yokestall/crowdmemory_test.go
+++ b/cmd/yokestall/crowdmemory_test.go
@@ -170,20 +170,26 @@
 
 // Guards against few clients that take the processor from all others, whatever they send and whoever answers it.
 func TestServeFewConnectionsDelayNobody(t *testing.T) {
-	program := testutil.BuildProgram(t, "cmd/yokestall")
+	program, floods := testutil.BuildProgram(t, "cmd/yokestall"), testutil.BuildProgram(t, "internal/stress/crowd/floods")
 	for _, kind := range crowd.FloodKinds() {
 		t.Run(string(kind), func(t *testing.T) {
 			endpoint := testutil.Accept(t, func(nc net.Conn) { shapes.Serve(nc, nil) }) // with short answers
 			addr, _ := startServeCommand(t, program, nil, crowdConfig, endpoint)
-			flood := crowd.StartFlood(crowd.FloodOptions{
+			flood, err := crowd.StartFloodProcess(floods, crowd.FloodOptions{
 				Addr: addr, Kind: kind, Clients: 24, Pipelined: 100, FullSpeed: true, Target: "/pay",
 			})
-			defer flood.Stop()
+			if err != nil {
+				t.Fatal(err)
+			}
 			report := crowd.RunOrdinary(crowd.OrdinaryOptions{
 				Addr: addr, Target: "/pay", Clients: 6, Requests: 40, Every: 20 * time.Millisecond,
 				Timeout: 436 * time.Millisecond, Grace: answerGrace,
 			})
-			t.Logf("%v; %d requests of the flood", report, flood.Sent.Load())
+			sent, err := flood.Stop()
+			t.Logf("%v; %d requests of the flood, error %v", report, sent, err)
+			if err != nil || sent == 0 {
+				t.Errorf("the flood sent %d requests, error %v", sent, err)
+			}
 			if report.Late > 0 || report.Served < report.Requests*95/100 {
 				t.Errorf("ordinary clients: %v; want none late and 95 of 100 served", report)
 			}
--- a/internal/stress/crowd/flood.go
+++ b/internal/stress/crowd/flood.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// manyFields returns the fields of a FieldFlood. They are made once, since the clients that make them share their process with
+// those whose times are measured.
+var manyFields = sync.OnceValue(func() string {
+	var fields strings.Builder
+	for i := range 3000 {
+		fields.WriteString(fieldName(i) + ":\r\n")
+	}
+	return fields.String()
+})
+
 // floodRequest returns the text of a flood's request n of a client.
 func floodRequest(o FloodOptions, client, n int) string {
 	id, target, more := fmt.Sprintf("flood-%d-%d", client, n), o.Target, ""
@@ -136,11 +146,7 @@
 	case NewPaths:
 		target, host = fmt.Sprintf("%s/%d/%d?obj=%d", target, client, n, n), fmt.Sprintf("host-%d-%d", client, n)
 	case FieldFlood:
-		var fields strings.Builder
-		for i := range 3000 {
-			fields.WriteString(fieldName(i) + ":\r\n")
-		}
-		more = fields.String()
+		more = manyFields()
 	case InvalidRequest:
 		return "GET " + target + " HTTP/1.1\r\nHost x\r\n\r\n"
 	}
