--- a/cmd/yokestall-node/floods_test.go
+++ b/cmd/yokestall-node/floods_test.go
@@ -34,7 +34,7 @@
 		for _, clients := range clientNumbers {
 			t.Run(fmt.Sprintf("%s, %d", kind, clients), func(t *testing.T) {
 				r := newRigWith(t, rigOptions{memoryMB: minMemoryLimitMB, boxes: 4, executable: program})
-				r.startNode()
+				node := r.startNode()
 				for i := range 20 { // the node learns how long the endpoints take
 					request(t, r.Addr, "read", fmt.Sprintf("first-%d", i), 5*time.Second, nil)
 				}
@@ -49,7 +49,11 @@
 					Timeout: 436 * time.Millisecond, Grace: answerGrace,
 				})
 				sent, err := flood.Stop()
-				t.Logf("%v; %d requests of the flood, error %v", report, sent, err)
+				peak := node.PeakMB()
+				t.Logf("%v; %d requests of the flood, error %v; peak memory %.1f MB", report, sent, err, peak)
+				if peak > minMemoryLimitMB {
+					t.Errorf("peak memory of the node is %.1f MB, want at most its limit of %d MB", peak, minMemoryLimitMB)
+				}
 				if err != nil || sent == 0 {
 					t.Errorf("the flood sent %d requests, error %v", sent, err)
 				}
--- a/internal/stress/crowd/floodprocess.go
+++ b/internal/stress/crowd/floodprocess.go
@@ -19,8 +19,8 @@
 	output  bytes.Buffer
 }
 
-// StartFloodProcess starts the clients of a flood. executable is a build of internal/stress/crowd/floods. The process ends with the
-// caller's. The caller must call Stop.
+// StartFloodProcess starts the clients of a flood. executable is a build of internal/stress/crowd/floods. The process ends with
+// the caller's. The caller must call Stop.
 func StartFloodProcess(executable string, o FloodOptions) (*FloodProcess, error) {
 	options, err := json.Marshal(o)
 	if err != nil {
