extproc: an answer that can't be streamed is final when it is due

What callers saw: with a body mode in which the caller accepts no streams (BUFFERED, BUFFERED_PARTIAL), the processor's final answer came up to 1.9 s after the request's time.

Cause: the engine passes on an answer that has begun when its time comes; the processor then read that stream to its end for these callers, bounded by the stall limit of streams alone. Class: a bound on the first byte where the caller gets none before the last.

--- a/internal/downstream/extproc/response.go
+++ b/internal/downstream/extproc/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	pb "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc/codes"
@@ -91,12 +92,14 @@
 	return p.send(r)
 }
 
-// bufferResponse reads a streamed response to its end. The error is errResponseTooLarge if the response's body exceeds
-// MaxResponseBytes or the server's buffers have fewer than MaxResponseBytes left.
+// bufferResponse reads a streamed response to its end, until the final answer is due: the caller gets nothing of it before. The
+// error is errResponseTooLarge if the response's body exceeds MaxResponseBytes or the server's buffers have fewer than
+// MaxResponseBytes left.
 func (p *processingStream) bufferResponse(response *h1client.Answer) error {
 	s := response.Stream
 	defer s.Close()
 	defer context.AfterFunc(p.rpc.Context(), s.Abort)()
+	defer time.AfterFunc(p.deadline-p.server.Clock.Now(), s.Abort).Stop()
 	maxBytes := p.server.MaxResponseBytes
 	if response.Length > int64(maxBytes) || !p.reserveBuffer(maxBytes) {
 		return errResponseTooLarge
--- a/internal/fake/proxy/exchange.go
+++ b/internal/fake/proxy/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
 	pb "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
@@ -188,6 +189,7 @@
 		Header:      http.Header{},
 		Body:        r.GetBody(),
 		Servers:     x.result.Servers,
+		BegunAt:     time.Now(),
 	}
 	ApplyMutation(x.result.Header, r.GetHeaders())
 }
@@ -195,7 +197,7 @@
 // receiveStreamedResponse receives the pieces of the processor's streamed response and sets the result to them. If the
 // stream ends early, the result is marked as truncated.
 func (x *exchange) receiveStreamedResponse(first *pb.StreamedImmediateResponse) error {
-	x.result = Result{ByProcessor: true, Header: http.Header{}}
+	x.result = Result{ByProcessor: true, Header: http.Header{}, BegunAt: time.Now()}
 	for _, f := range first.GetHeadersResponse().GetHeaders().GetHeaders() {
 		if f.Key == ":status" {
 			x.result.Status, _ = strconv.Atoi(string(f.RawValue))
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -61,9 +61,10 @@
 	Status      int // 0 if there is no response, since the client or the exchange ended first
 	Header      http.Header
 	Body        []byte
-	ByProcessor bool     // whether the response came from the processor instead of an upstream of the proxy
-	Truncated   bool     // whether the body ended with an error
-	Servers     []string // addresses of the picked endpoints, in order of the attempts
+	ByProcessor bool      // whether the response came from the processor instead of an upstream of the proxy
+	Truncated   bool      // whether the body ended with an error
+	BegunAt     time.Time // when the head of the processor's response came; zero if there was none
+	Servers     []string  // addresses of the picked endpoints, in order of the attempts
 	Err         error
 }
 
