--- a/internal/stress/shapes/shape.go
+++ b/internal/stress/shapes/shape.go
@@ -72,6 +72,33 @@
 	AnswerAfter int `json:",omitempty"`
 	Answer      Message
 	Client      Client `json:"-"`
+	// Gateway says that the server under test is a gateway: it counts the time of a request from its head, so that the client
+	// allows for the time that it takes to write, and passes on an answer of any length that pauses.
+	Gateway bool `json:"-"`
+}
+
+// A gateway wants a body of at most shortBodyBytes within two seconds; shortBodyTime is less than that.
+const (
+	shortBodyBytes = 64 << 10
+	shortBodyTime  = 1100 * time.Millisecond
+)
+
+// ForGateway returns the shape for a server that is a gateway.
+func (s Shape) ForGateway() Shape {
+	s.Gateway = true
+	if s.Request.Size <= shortBodyBytes {
+		s.Request.WriteFor = min(s.Request.WriteFor, shortBodyTime)
+		s.Request.Pause.Length = min(s.Request.Pause.Length, shortBodyTime)
+	}
+	return s
+}
+
+// statedTimeout returns the time that the client states in its request.
+func (s Shape) statedTimeout() time.Duration {
+	if s.Gateway {
+		return s.Timeout + s.Request.duration()
+	}
+	return s.Timeout
 }
 
 // Client is how the client handles its connection.
@@ -168,7 +195,7 @@
 
 // passedOnLate reports whether the answer ends after its client's time, so that it either is refused in time or begins in time.
 func (s Shape) passedOnLate() bool {
-	return s.Answer.duration() >= s.Timeout && s.Answer.Framing != Length
+	return s.Answer.duration() >= s.Timeout && (s.Answer.Framing != Length || s.Gateway)
 }
 
 // timeLimit returns the longest time from the first byte of a request to its answer, if the client writes at once. The time of
