h1server: its own answers state their length

What callers saw: the last byte of a health check or a rejection on a connection beyond its share came up to 0.25 s after its text.

Cause: the wait for the connection's turn flushes the answer first; one without a stated length is chunked then, and its end follows the wait.

Change: rejections and health checks are written with their length, at one place.

Evidence: TestAnswersBeyondTheShareComeWhole fails on the former code at answer 101 (no length) and passes now.

--- a/internal/downstream/h1server/lifecycle.go
+++ b/internal/downstream/h1server/lifecycle.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 )
@@ -75,8 +74,8 @@
 // serveHealthCheck answers GET /health/ready.
 func (s *Server) serveHealthCheck(w http.ResponseWriter) {
 	if !s.ready.Load() || s.failingHealthChecks.Load() || s.lameDuck.Load() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		writeText(w, http.StatusServiceUnavailable, "not ready\n")
 		return
 	}
-	io.WriteString(w, "ready\n")
+	writeText(w, http.StatusOK, "ready\n")
 }
--- a/internal/downstream/h1server/response.go
+++ b/internal/downstream/h1server/response.go
@@ -40,7 +40,18 @@
 	if rejection.RetryAfter > 0 {
 		w.Header().Set("Retry-After", ingress.FormatRetryAfter(rejection.RetryAfter))
 	}
-	http.Error(w, rejection.Message, rejection.Status)
+	writeText(w, rejection.Status, rejection.Message+"\n")
+}
+
+// writeText writes a short text as an answer. It states the length, so that the answer has no end that would be sent after the
+// wait for the connection's turn.
+func writeText(w http.ResponseWriter, status int, text string) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	io.WriteString(w, text)
 }
 
 // rejectLogged rejects a request and logs it. A direct response of a route is no rejection to log.
