serve logs how its client connections have ended

Need: the node logs the reasons and the waits for a turn at its end; serve did not. It does now for each listener. A failed test of cmd/yokestall shows the end of its program's log, since an end of a connection could not be traced there.

--- a/cmd/yokestall/crowdmemory_test.go
+++ b/cmd/yokestall/crowdmemory_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -85,12 +86,17 @@
 	}
 	program := exec.Command(executable, "serve", "-c", filepath.Join(dir, "yokestall.toml"))
 	program.Env = append(os.Environ(), env...)
+	var log bytes.Buffer
+	program.Stderr = &log
 	if err := program.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
 		program.Process.Kill()
 		program.Wait()
+		if t.Failed() {
+			t.Logf("log of the program: %s", lastBytes(log.Bytes(), maxLogBytes))
+		}
 	})
 	testutil.Until(t, "the program to serve", func() bool {
 		resp, err := http.Get("http://" + addr + "/pay")
@@ -103,6 +109,12 @@
 	return addr, program.Process
 }
 
+// maxLogBytes is how much of a program's log a failed test shows.
+const maxLogBytes = 64 << 10
+
+// lastBytes returns the last n bytes of b, or all of them.
+func lastBytes(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
+
 // clusterFile returns the file of the cluster rooms with endpoints at these addresses.
 func clusterFile(endpoints []string) string {
 	var text strings.Builder
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -62,6 +62,10 @@
 	if err != nil {
 		return err
 	}
+	defer func() {
+		a.Log.Info("client connections ended", "listener", settings.Name, "reasons", s.h1.ConnectionEnds(),
+			"turn_waits", s.h1.Shares().Waits)
+	}()
 	defer s.http.Close()
 	defer s.h1.CloseTunnels()
 	listener := s.h1.Listener(l)
