--- a/internal/stress/soak/disruptions.go
+++ b/internal/stress/soak/disruptions.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// OrdinaryClients are clients that are judged apart from the drawn exchanges.
-func OrdinaryClients(addr, target string) crowd.OrdinaryOptions {
+// ordinaryClients are clients that are judged apart from the drawn exchanges.
+func ordinaryClients(addr, target string) crowd.OrdinaryOptions {
 	return crowd.OrdinaryOptions{
 		Addr: addr, Target: target, Clients: 3, Requests: 60, Every: 20 * time.Millisecond,
 		Timeout: 600 * time.Millisecond, Grace: 500 * time.Millisecond,
