h1server: a client's time that has run out does not begin again

Cause, by reading: when the time of an upload runs out, its attempt ends and the rest of the body is read at once; the watch looks each 20 ms. A socket that this reading finds empty for 20 ms, since the client refills it slowly, moved the begin of the time to now, so that the request got a second one. Not shown over sockets.

Change: bodyArrival knows the client's time and keeps that it is over.

--- a/internal/downstream/h1server/bodyarrival.go
+++ b/internal/downstream/h1server/bodyarrival.go
@@ -38,6 +38,10 @@
 
 	// notBefore is the last time at which the node was known to wait for the client.
 	notBefore time.Duration
+	// limit is the client's time; 0 as long as it is not known. Once it has run out, it doesn't begin again: whoever reads the
+	// rest empties the socket, but the request is over.
+	limit time.Duration
+	over  bool
 
 	// drainedSince is the time since which the socket was found empty again and again, the last time at lastEmpty. taken is the
 	// number of bytes that were taken from it after that. While they are fewer than window, the client could send all the time.
@@ -59,6 +63,7 @@
 // foundEmpty records that the socket was found empty. If it had not been for long, the client's kernel may still hold bytes that
 // were written long before.
 func (b *bodyArrival) foundEmpty(now time.Duration) {
+	b.over = b.over || b.limit > 0 && b.elapsed(now) >= b.limit
 	if b.taken >= b.window || b.state != awaited && now-b.lastEmpty > maxDrainGap {
 		b.drainedSince = now
 	}
@@ -122,8 +127,12 @@
 
 // elapsed returns the part of the client's time that has passed.
 func (b *bodyArrival) elapsed(now time.Duration) time.Duration {
-	if b.state == awaited && b.settled(now) {
+	passed := max(0, now-b.notBefore)
+	switch {
+	case b.over:
+		return max(passed, b.limit)
+	case b.state == awaited && b.settled(now):
 		return 0
 	}
-	return max(0, now-b.notBefore)
+	return passed
 }
--- a/internal/downstream/h1server/bodyarrival_test.go
+++ b/internal/downstream/h1server/bodyarrival_test.go
@@ -196,6 +196,34 @@
 	}
 }
 
+// Guards against a request whose time begins again after it has run out, because the rest of its body is then read at once while
+// its client writes on.
+func TestTimeThatHasRunOutStaysOver(t *testing.T) {
+	for seed := range uint64(500) {
+		m := newArrivalModel(seed)
+		m.body.limit = 500*time.Millisecond + time.Duration(m.random.IntN(900))*time.Millisecond
+		drainAt := m.body.limit + time.Duration(m.random.IntN(40))*time.Millisecond
+		over := false
+		for step := 1; step < 1200 && m.parsed < m.size; step++ {
+			m.now += 5 * time.Millisecond
+			m.transmit()
+			m.write(64 << 10)
+			if m.now > drainAt {
+				m.read(1 << 20)
+			} else if m.now < 20*time.Millisecond {
+				m.read(m.buffer)
+			}
+			if m.queued == 0 && !over {
+				m.nothingUnread = m.now
+			}
+			over = over || m.now-m.nothingUnread >= m.body.limit+settleTime
+			if elapsed := m.body.elapsed(m.now); over && elapsed < m.body.limit {
+				t.Fatalf("seed %d: %v of %v have passed, after bytes have lain unread for longer", seed, elapsed, m.body.limit)
+			}
+		}
+	}
+}
+
 // Guards against an upload that is given up although its client still writes: while a body with a length arrives steadily and
 // only the read-ahead reads it, little time is counted; and none that lasts while net/http reads it.
 func TestArrivingBodyHasTime(t *testing.T) {
--- a/internal/downstream/h1server/platformbody.go
+++ b/internal/downstream/h1server/platformbody.go
@@ -74,6 +74,7 @@
 	payload := request.Payload.(*h1client.Request)
 	upload := payload.Upload
 	conn := clientConnOf(r)
+	conn.limitBodyTime(request.UploadTimeout)
 	var onComplete func()
 	cluster, _ := destination.Cluster.(bodyCompleter)
 	if cluster != nil {
--- a/internal/downstream/h1server/uploaddeadline.go
+++ b/internal/downstream/h1server/uploaddeadline.go
@@ -44,6 +44,18 @@
 	return arrivalReader{body, c}
 }
 
+// limitBodyTime sets the client's time for the body that is tracked.
+func (c *clientConn) limitBodyTime(limit time.Duration) {
+	if c == nil {
+		return
+	}
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	if c.body != nil {
+		c.body.limit = limit
+	}
+}
+
 // sinceBodyWritten returns the longest time that may have passed since the client wrote the last byte of its request's body. It
 // looks at the socket unless the body was read to its end. It returns 0 if the body is not tracked.
 func (c *clientConn) sinceBodyWritten() time.Duration {
