TestSlowlyReadUploadsOverAllProtocols makes its bodies before its clock

Trace: the time was taken before the test made the upload's bytes, which 16 pairs do at once with the race detector; the server logs that its own second for that request ended 1.71 s after the pair had begun to serve.

Change: the bytes are made first. Bounds and draws are as before.

--- a/internal/app/slowreaders_test.go
+++ b/internal/app/slowreaders_test.go
@@ -93,8 +93,9 @@
 	if s.stated {
 		length = int64(s.size)
 	}
+	upload := bytes.NewReader(testutil.Bytes(s.size))
 	begin := time.Now()
-	resp, body, err := c.exchange("POST", fmt.Sprintf("/pay/x?rate=%d", s.rate), "", bytes.NewReader(testutil.Bytes(s.size)), length,
+	resp, body, err := c.exchange("POST", fmt.Sprintf("/pay/x?rate=%d", s.rate), "", upload, length,
 		"X-Timeout-Ms", fmt.Sprint(slowReadTimeout.Milliseconds()))
 	took := time.Since(begin)
 	switch {
