--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,6 +10,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*rig){
 	"tenants": tenantsCase,
+	"alone":   aloneCase,
 }
 
 func main() {
