Review case 8: a key known at one front runs again at another

Cause: the listeners and the external processor of one program have a store of keys each. Change: a case; the release's case becomes case 9, as the lesser one. Nothing is mended.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*rig){
 	"tenants": tenantsCase,
 	"alone":   aloneCase,
+	"fronts":  frontsCase,
 	"release": releaseCase,
 }
 
