--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -13,6 +13,7 @@
 	"alone":   aloneCase,
 	"fronts":  frontsCase,
 	"release": releaseCase,
+	"ending":  endingCase,
 }
 
 func main() {
