--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"path/filepath"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -162,38 +160,3 @@
 		return a.status == 200
 	})
 }
-
-// startLoad starts clients of all nodes that read and pay. stop ends them, and returns the ids of the payments that were not
-// served.
-func (f *fleet) startLoad() (stop func() (unserved map[string]bool)) {
-	var ended atomic.Bool
-	var clients sync.WaitGroup
-	var mu sync.Mutex
-	unserved := map[string]bool{}
-	for _, name := range f.names {
-		c := f.rig.newClient("load-"+name, f.listens[name])
-		clients.Go(func() {
-			for !ended.Load() {
-				c.do(request{method: "GET", path: "/avail"})
-				time.Sleep(15 * time.Millisecond)
-			}
-		})
-		payer := f.rig.newClient("pay-"+name, f.listens[name])
-		clients.Go(func() {
-			for !ended.Load() {
-				id, a := payer.do(request{method: "POST", path: "/payment"})
-				if a.status != 200 {
-					mu.Lock()
-					unserved[id] = true
-					mu.Unlock()
-				}
-				time.Sleep(15 * time.Millisecond)
-			}
-		})
-	}
-	return func() map[string]bool {
-		ended.Store(true)
-		clients.Wait()
-		return unserved
-	}
-}
--- a/review/rig2/fronts.go
+++ b/review/rig2/fronts.go
@@ -71,7 +71,6 @@
 	listen, processor := r.freeAddr(), r.freeAddr()
 	r.write("clusters/rooms.toml", clusterFile("rooms", endpoints...))
 	program := strings.ReplaceAll(keyedProgram, "LISTEN", listen)
-	program = strings.Replace(program, "tenants = \"tenants.toml\"\n", "", 1)
 	extproc := fmt.Sprintf("[extproc]\naddress = %q\nway = \"carry\"\n\n", processor)
 	program = strings.Replace(program, "[repeats]", extproc+"[repeats]", 1)
 	path := r.write("yokestall.toml", program)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -9,11 +9,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*rig){
-	"tenants": tenantsCase,
-	"alone":   aloneCase,
-	"fronts":  frontsCase,
-	"release": releaseCase,
-	"ending":  endingCase,
+	"alone":  aloneCase,
+	"fronts": frontsCase,
+	"ending": endingCase,
 }
 
 func main() {
