Review case 8: half of the program's file is taken as a whole version

Cause: the program's own file has no closing entry, so that a part of it that is valid is a version.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*rig){
 	"alone":  aloneCase,
 	"fronts": frontsCase,
+	"torn":   tornCase,
 	"ending": endingCase,
 }
 
