Review case 9: a key of 70,000 bytes keeps the program from starting

Cause: the log of keys refuses the start of a key that is too long, and records its completion, which it can't read back.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -9,10 +9,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*rig){
-	"alone":  aloneCase,
-	"fronts": frontsCase,
-	"torn":   tornCase,
-	"ending": endingCase,
+	"alone":   aloneCase,
+	"fronts":  frontsCase,
+	"torn":    tornCase,
+	"longkey": longKeyCase,
+	"ending":  endingCase,
 }
 
 func main() {
