A version that lacks a cluster's file or all routes for a moment is held back

Callers saw 503 and 404 between the removal of a file and its creation: with max_removed_share = 1 a version without the cluster was taken, and of files in xDS form one without any route.

Cause: CheckRemovals judged the loss of a whole cluster by the share, though docs/operating-files.md asks for no_servers first; nothing looked at routes.

Change: the loss of a cluster with serving endpoints is never accepted by its share, and a version without routes is rejected where the one in force has some.

Evidence: TestClusterDoesNotVanish and TestRoutesDoNotVanish fail on the code before ("got error <nil>", "a version without routes is accepted") and pass now; go test ./internal/cluster ./internal/files passes.

--- a/internal/cluster/removals.go
+++ b/internal/cluster/removals.go
@@ -10,7 +10,8 @@
 // CheckRemovals compares a candidate version with the active version, which may be nil. It returns the joined *Problems
 // of all clusters that would lose more than maxShare (0 to 1) of their serving endpoints at once, by removal or by
 // draining, unless Config.ShrinkTo or Config.AllowEmpty says that this is on purpose. The loss of a single endpoint is
-// always accepted if another serving endpoint remains.
+// always accepted if another serving endpoint remains. The loss of a cluster with serving endpoints is never accepted, since its
+// file may be missing only until it is written again.
 func CheckRemovals(active, candidate *Version, maxShare float64) error {
 	if active == nil {
 		return nil
@@ -38,7 +39,8 @@
 		servingAfter = after.countServing()
 	}
 	lost := countLost(before, after)
-	if lost == 0 || (lost == 1 && servingAfter > 0) || float64(lost) <= maxShare*float64(servingBefore) {
+	acceptable := (lost == 1 && servingAfter > 0) || float64(lost) <= maxShare*float64(servingBefore)
+	if lost == 0 || after != nil && acceptable {
 		return nil
 	}
 	p := &Problem{Source: before.Source}
--- a/internal/cluster/removals_test.go
+++ b/internal/cluster/removals_test.go
@@ -54,3 +54,17 @@
 		})
 	}
 }
+
+// While a cluster's file is removed to be created anew, no version without the cluster is accepted, also if all of a cluster's
+// endpoints may be removed at once.
+func TestClusterDoesNotVanish(t *testing.T) {
+	c := newConfig("x", endpoints(2))
+	before := &Version{Clusters: map[string]*Config{"x": c}}
+	if err := CheckRemovals(before, &Version{}, 1); err == nil || !strings.Contains(err.Error(), "to remove a cluster") {
+		t.Errorf("got error %v, want one that says how to remove a cluster", err)
+	}
+	c.AllowEmpty, c.Endpoints = true, nil
+	if err := CheckRemovals(before, &Version{}, 1); err != nil {
+		t.Errorf("a cluster that is empty on purpose can't be removed: %v", err)
+	}
+}
--- a/internal/files/watcher.go
+++ b/internal/files/watcher.go
@@ -204,7 +204,8 @@
 		return nil, err
 	}
 	if err == nil {
-		err = cluster.CheckRemovals(w.current.Version, s.Version, s.Program.Files.MaxShare)
+		err = errors.Join(
+			cluster.CheckRemovals(w.current.Version, s.Version, s.Program.Files.MaxShare), w.checkRoutesRemain(s))
 	}
 	if err != nil {
 		return &Configuration{contentHash: contentHash}, err
@@ -212,6 +213,15 @@
 	return s, nil
 }
 
+// checkRoutesRemain returns a *cluster.Problem if a version has no routes and the one in force has some. That happens while the
+// file in xDS form that has them is removed to be created anew.
+func (w *Watcher) checkRoutesRemain(s *Configuration) error {
+	if w.current.Program.Table == nil || s.Program.Table != nil || len(s.Program.XDS.Servers) > 0 {
+		return nil
+	}
+	return &cluster.Problem{Source: w.path, Text: "no file has routes any more"}
+}
+
 // logVerdict logs why the files are rejected, each cause once. It logs only if two polls by the timer in a row rejected the
 // same contents, since contents that are rejected once may be those of a file that is being written.
 func (w *Watcher) logVerdict() {
--- a/internal/files/xdsfolder_test.go
+++ b/internal/files/xdsfolder_test.go
@@ -96,3 +96,20 @@
 		t.Errorf("after a change in xDS form the poll returned %+v; want the new address of villas and the same suites", s)
 	}
 }
+
+// While the file in xDS form that has the routes is removed to be created anew, the version in force stays.
+func TestRoutesDoNotVanish(t *testing.T) {
+	f := newFixture(t)
+	folder := filepath.Join(filepath.Dir(f.path), "xds")
+	must(t, os.Mkdir(folder, 0o755))
+	withoutRoutes, _, _ := strings.Cut(program, "[[host]]")
+	f.writeFile(f.path, withXDSFolder(withoutRoutes))
+	const routes = `{"@type": "type.googleapis.com/envoy.config.route.v3.RouteConfiguration", "name": "main", "virtual_hosts":
+		[{"name": "v", "domains": ["*"], "routes": [{"match": {"prefix": "/"}, "route": {"cluster": "rooms"}}]}]}`
+	f.writeFile(filepath.Join(folder, "routes.json"), routes)
+	r := watchManually(f)
+	must(t, os.Remove(filepath.Join(folder, "routes.json")))
+	if r.poll() != nil || r.w.verdict.err == nil {
+		t.Error("a version without routes is accepted")
+	}
+}
