A file is taken only when it is known to be whole: by a checksum, or placed in one step

Cause: a text that is valid was taken for a whole file. The program's file had nothing that shows its end; the closing entry of cluster and tenants' files shows a cut, but not a new beginning with an old end. So it was for all readers.

The watcher takes a file without one only if it was notified of its rename, or a link or setting leads to it that the version in force did not have, and the file was not written since; inotify is read directly, since fsnotify reports a rename like a creation. Readers that read once wait for a process that has a file open for writing. What is held back has a log line, a metric ([metrics]) and one remedy, `yokestall seal FILE`. `check` names the files without a checksum.

Tests of internal/files, config and cli that wrote valid changes in place without a checksum now write one, or rename: what they check is as before. The test of the notifier has a scripted one of the new form. `check` prints protections to the log, so that its output is as before.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,7 +27,8 @@
 	root.SetErr(logs)
 	root.AddCommand(
 		newServeCommand(log),
-		newCheckCommand(out),
+		newCheckCommand(out, logs),
+		newSealCommand(out),
 		newDemoCommand(out, log),
 		newLabCommand(out),
 		newFleetCommand(out, log),
--- a/internal/cli/fleet_diff_test.go
+++ b/internal/cli/fleet_diff_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"yokestall/internal/config"
 )
 
 // fleet diff fails and prints the reason if the two configurations contradict, lists differences that don't contradict,
@@ -23,7 +25,7 @@
 		path := filepath.Join(t.TempDir(), "yokestall.toml")
 		changed := strings.Replace(string(text), former, latter, 1)
 		changed = strings.Replace(changed, `clusters = "clusters"`, `clusters = "`+clusters+`"`, 1)
-		if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		if err := os.WriteFile(path, config.AddChecksum([]byte(changed)), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		return path
--- a/internal/cli/fleet_publish.go
+++ b/internal/cli/fleet_publish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 
 	"github.com/spf13/cobra"
 
@@ -56,7 +55,7 @@
 // publishChange reads a file with a change of one cluster's endpoint list, and returns a function that publishes the
 // change as a version.
 func publishChange(path string) (proposeFunc, error) {
-	text, err := os.ReadFile(path)
+	text, err := files.ReadAtRest(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/release.go
+++ b/internal/cli/release.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 
 	"github.com/spf13/cobra"
 
+	"yokestall/internal/files"
 	"yokestall/internal/fleet/agent"
 	"yokestall/internal/fleet/consensus"
 )
@@ -69,7 +69,7 @@
 
 // startRelease starts the release that a file describes. If id is empty, the release gets a new ID.
 func (f *fleetCommands) startRelease(cmd *cobra.Command, path, id string) error {
-	text, err := os.ReadFile(path)
+	text, err := files.ReadAtRest(path)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	defer watcher.Close()
 	memory := newMemoryLimit()
 	memory.set(first.Program.MemoryLimit)
 	s, err := newServer(path, first, memory, log, options)
@@ -69,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.startMetrics(ctx, watcher); err != nil {
+		return err
+	}
 	if options.ready != nil {
 		options.ready(s.listeners.Addr(first.Program.Listener.Name))
 	}
--- a/internal/cli/serve_test.go
+++ b/internal/cli/serve_test.go
@@ -9,10 +9,11 @@
 	"path/filepath"
 	"testing"
 
+	"yokestall/internal/config"
 	"yokestall/internal/testutil"
 )
 
-// The program serves the example configuration unchanged, except for the port, and reports that it is ready.
+// The program serves the example configuration unchanged, except for the port and so the checksum, and reports that it is ready.
 func TestServe(t *testing.T) {
 	dir := t.TempDir()
 	for _, name := range []string{"yokestall.toml", "clusters/rooms.toml"} {
@@ -22,7 +23,7 @@
 		}
 		os.MkdirAll(filepath.Dir(filepath.Join(dir, name)), 0o755)
 		text = bytes.Replace(text, []byte("127.0.0.1:8080"), []byte("127.0.0.1:0"), 1)
-		if err := os.WriteFile(filepath.Join(dir, name), text, 0o644); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, name), config.AddChecksum(text), 0o644); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/cli/server.go
+++ b/internal/cli/server.go
@@ -120,6 +120,9 @@
 	if next.ExtProc != first.ExtProc {
 		s.log.Warn(restartNeeded, "settings", "[extproc]")
 	}
+	if next.MetricsAddress != first.MetricsAddress {
+		s.log.Warn(restartNeeded, "settings", "[metrics]")
+	}
 	if next.Keys != first.Keys {
 		s.log.Warn(restartNeeded, "settings", "[keys]")
 	}
--- a/internal/config/clusterfile.go
+++ b/internal/config/clusterfile.go
@@ -72,6 +72,12 @@
 	return c, nil
 }
 
+// CheckCluster checks a cluster file, which may be a change of one. Errors are cluster.Problems.
+func CheckCluster(file File) error {
+	_, _, err := parseCluster(file)
+	return err
+}
+
 // ParseChange parses a change to a cluster's endpoint list: a cluster file with change = true that has the new and the changed
 // endpoints, and the IDs of removed endpoints under the key removed. Errors are cluster.Problems.
 func ParseChange(file File) (*cluster.Patch, error) {
@@ -108,6 +114,14 @@
 
 // parseCluster parses a cluster file, which may be a change. It also returns the decoded file.
 func parseCluster(file File) (*cluster.Config, *clusterFile, error) {
+	c, f, err := parseClusterContent(file)
+	if err := joinChecksumProblem(file.Name, file.Text, err); err != nil {
+		return nil, nil, err
+	}
+	return c, f, nil
+}
+
+func parseClusterContent(file File) (*cluster.Config, *clusterFile, error) {
 	if len(file.Text) > MaxFileBytes {
 		return nil, nil, &cluster.Problem{Source: file.Name, Text: fmt.Sprintf("over %d bytes", MaxFileBytes)}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,14 +11,18 @@
 	"yokestall/internal/cluster"
 )
 
-// readExample returns the content of a file in the directory deploy, which has the examples for operators.
+// readExample returns the content of a file in the directory deploy, which has the examples for operators, without its checksum,
+// which it checks, so that tests may change the text.
 func readExample(t testing.TB, name string) []byte {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", name))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return text
+	if err := VerifyChecksum(name, text); err != nil || !HasChecksum(text) {
+		t.Fatalf("the example has no checksum, or error %v", err)
+	}
+	return withoutChecksum(text)
 }
 
 // Guards against example files that the program does not accept or parses to other values than they state.
@@ -144,10 +148,10 @@
 	good := string(readExample(t, "yokestall.toml"))
 	for name, c := range map[string]struct{ old, new, want string }{
 		"unknown key":      {"silent = 256", "slient = 256", "listen.slient: is no known key"},
-		"address":          {`"127.0.0.1:8080"`, `"8080"`, "x.toml:8: listen: address"},
+		"address":          {`"127.0.0.1:8080"`, `"8080"`, "x.toml:10: listen: address"},
 		"port":             {`"127.0.0.1:8080"`, `"127.0.0.1:80800"`, "0 to 65535"},
 		"connections":      {"connections = 1024", "connections = 0", "listen: connections: 0"},
-		"duration":         {`idle = "15s"`, `idle = "15"`, "x.toml:41"},
+		"duration":         {`idle = "15s"`, `idle = "15"`, "x.toml:43"},
 		"negative time":    {`idle = "15s"`, `idle = "-15s"`, "upstream: idle"},
 		"idle clusters":    {`cluster_idle = "2m"`, `cluster_idle = "10ms"`, "upstream: cluster_idle"},
 		"little memory":    {"memory_mb = 0", "memory_mb = 63", "process: memory_mb: 63 is neither 0 nor from 64"},
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -24,10 +24,13 @@
 }
 
 // Decode decodes a TOML file of at most MaxFile bytes into the value that to points to. A key that the value's type does not
-// have is a problem. Errors are cluster.Problems with the file's name and line, joined if the file has several unknown keys.
-func Decode(name string, text []byte, to any) error { return decode(name, text, to, nil) }
+// have is a problem, and so is a checksum that does not match. Errors are cluster.Problems with the file's name and line, joined
+// if there are several.
+func Decode(name string, text []byte, to any) error {
+	return joinChecksumProblem(name, text, decode(name, text, to, nil))
+}
 
-// decode implements Decode. It also limits the number of tables and list values in the file.
+// decode implements Decode without the checksum. It also limits the number of tables and list values in the file.
 func decode(name string, text []byte, to any, limits tableLimits) error {
 	if len(text) > MaxFileBytes {
 		return &cluster.Problem{Source: name, Text: fmt.Sprintf("over %d bytes", MaxFileBytes)}
--- a/internal/config/parseprogram.go
+++ b/internal/config/parseprogram.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net"
 	"time"
 
 	"yokestall/internal/cluster"
@@ -12,6 +13,14 @@
 // ParseProgram parses the program's own file. name is the file's name in problems. Errors are cluster.Problems with their
 // lines, up to maxProblems joined.
 func ParseProgram(name string, text []byte) (*Program, error) {
+	p, err := parseProgram(name, text)
+	if err := joinChecksumProblem(name, text, err); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func parseProgram(name string, text []byte) (*Program, error) {
 	f := defaultProgramFile()
 	if err := decode(name, text, f, programLimits); err != nil {
 		return nil, err
@@ -30,6 +39,7 @@
 	p.checkFiles(report)
 	p.checkLimits(report)
 	p.checkFleet(report)
+	p.readMetrics(f, report)
 	p.readAgree(&f.Fleet.Agree, report)
 	p.readExtProc(f, report)
 	p.readRoutes(f, report)
@@ -120,6 +130,13 @@
 	report.checkDuration("files", "poll", p.Files.Poll, 10*time.Millisecond, time.Minute)
 }
 
+func (p *Program) readMetrics(f *programFile, report reporter) {
+	p.MetricsAddress = f.Metrics.Address
+	if _, port, err := net.SplitHostPort(p.MetricsAddress); p.MetricsAddress != "" && (err != nil || port == "") {
+		report("metrics", -1, "address", "%q is not host:port", p.MetricsAddress)
+	}
+}
+
 func (p *Program) checkLimits(report reporter) {
 	if n := p.Limits.MaxAttempts; n < 1 || n > 16 {
 		report("limits", -1, "attempts", "%d is not from 1 to 16", n)
--- a/internal/config/program.go
+++ b/internal/config/program.go
@@ -57,20 +57,22 @@
 	ClusterIdle time.Duration
 	// MemoryLimit is the memory limit of the process, in bytes; 0: none but the runtime's default.
 	MemoryLimit int64
-	Files       Files
-	Limits      policy.Limits
-	Rules       policy.Rules
-	Nodes       int    // number of nodes that send to the same endpoints
-	Node        int    // number of this node, from 0 to Nodes - 1
-	Zone        string // zone of this node
-	Classes     []Class
-	Tenants     []Tenant
-	Hosts       []route.VirtualHost
-	Table       *route.Table // compiled from Hosts; nil: routes come from a control plane
-	XDS         XDS
-	ExtProc     ExtProc
-	Repeats     Repeats
-	Agree       Agree
+	// MetricsAddress is host:port of the listener for metrics; "": there is none.
+	MetricsAddress string
+	Files          Files
+	Limits         policy.Limits
+	Rules          policy.Rules
+	Nodes          int    // number of nodes that send to the same endpoints
+	Node           int    // number of this node, from 0 to Nodes - 1
+	Zone           string // zone of this node
+	Classes        []Class
+	Tenants        []Tenant
+	Hosts          []route.VirtualHost
+	Table          *route.Table // compiled from Hosts; nil: routes come from a control plane
+	XDS            XDS
+	ExtProc        ExtProc
+	Repeats        Repeats
+	Agree          Agree
 }
 
 // Routed returns a copy of the program with the virtual hosts and the routing table of a control plane. classes are added to
--- a/internal/config/programfile.go
+++ b/internal/config/programfile.go
@@ -63,6 +63,9 @@
 	Process struct {
 		MemoryMB int64 `toml:"memory_mb"`
 	} `toml:"process"`
+	Metrics struct {
+		Address string `toml:"address"`
+	} `toml:"metrics"`
 	Limits struct {
 		Attempts      int      `toml:"attempts"`
 		SecondCopies  bool     `toml:"second_copies"`
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -30,6 +30,14 @@
 //
 // Errors are cluster.Problems with their lines.
 func ParseTenants(file File) ([]Tenant, error) {
+	tenants, err := parseTenants(file)
+	if err := joinChecksumProblem(file.Name, file.Text, err); err != nil {
+		return nil, err
+	}
+	return tenants, nil
+}
+
+func parseTenants(file File) ([]Tenant, error) {
 	if len(file.Text) > MaxFileBytes {
 		return nil, &cluster.Problem{Source: file.Name, Text: fmt.Sprintf("over %d bytes", MaxFileBytes)}
 	}
--- a/internal/files/atrest_test.go
+++ b/internal/files/atrest_test.go
@@ -22,15 +22,16 @@
 	return []settledChange{
 		{
 			name:   "in place",
-			change: func(f *fixture) { f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5)) },
+			change: func(f *fixture) { f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5)) },
 			want:   "1 2 3 5", reads: 1,
 		},
 		{
-			name: "in place, with the size and the time of before",
+			name:    "in place, with the size and the time of before",
+			prepare: func(f *fixture) { f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 4)) },
 			change: func(f *fixture) {
 				before, err := os.Stat(f.roomsFile())
 				must(f.t, err)
-				f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5))
+				f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5))
 				must(f.t, os.Chtimes(f.roomsFile(), before.ModTime(), before.ModTime()))
 			},
 			want: "1 2 3 5", reads: 1,
@@ -48,12 +49,12 @@
 		},
 		{
 			name:   "a file comes",
-			change: func(f *fixture) { f.writeFile(f.dir+"/b.toml", clusterText("", 9)) },
+			change: func(f *fixture) { f.writeSealed(f.dir+"/b.toml", clusterText("", 9)) },
 			want:   "1 2 3 4", reads: 2,
 		},
 		{
 			name:   "the program's file",
-			change: func(f *fixture) { f.writeFile(f.path, strings.Replace(program, `"1s"`, `"2s"`, 1)) },
+			change: func(f *fixture) { f.writeSealed(f.path, strings.Replace(program, `"1s"`, `"2s"`, 1)) },
 			want:   "1 2 3 4", reads: 1,
 		},
 		{
@@ -110,7 +111,7 @@
 			name: "the folder is replaced",
 			prepare: func(f *fixture) {
 				must(f.t, os.Mkdir(f.dir+"-2", 0o755))
-				f.writeFile(f.dir+"-2/rooms.toml", clusterText("", 1, 2, 3, 5))
+				f.writeSealed(f.dir+"-2/rooms.toml", clusterText("", 1, 2, 3, 5))
 			},
 			change: func(f *fixture) {
 				must(f.t, os.Rename(f.dir, f.dir+"-1"), os.Rename(f.dir+"-2", f.dir))
@@ -160,7 +161,7 @@
 		frozen[u.name] = u.stamp
 	}
 	r.w.reader.stat = func(name string) stamp { return frozen[name] }
-	f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5))
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5))
 	if r.poll() != nil {
 		t.Fatal("a poll with unchanged stamps returned a version, so that the test does not freeze the stamps")
 	}
@@ -231,7 +232,7 @@
 		t.Helper()
 		awaitClockTick(t)
 		before := r.w.parser.parses()
-		f.writeFile(name, text)
+		f.writeSealed(name, text)
 		s := r.poll()
 		if n := r.w.parser.parses() - before; n != parses {
 			t.Errorf("the poll parsed %d files, want %d", n, parses)
@@ -270,7 +271,7 @@
 	f := newFixture(t)
 	r := watchManually(f)
 	awaitClockTick(t)
-	f.writeFile(f.roomsFile(), clusterText("protocol = \"http2\"\n", 1, 2, 3, 4))
+	f.replaceFile(f.roomsFile(), clusterText("protocol = \"http2\"\n", 1, 2, 3, 4))
 	if s := r.poll(); s == nil || !s.Version.Clusters["rooms"].Transport.HTTP2 {
 		t.Error("the version after the change of the protocol does not use HTTP/2")
 	}
--- a/internal/files/bundle.go
+++ b/internal/files/bundle.go
@@ -21,7 +21,7 @@
 // the program's file, the tenants file if there is one, and the cluster files. It returns an error if a file can't be
 // read or Unbundle rejects the files.
 func Bundle(path string) ([]config.File, error) {
-	v, err := newReader(path).scan(NewParser())
+	v, err := newReader(path).scanAtRest(NewParser())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/files/check.go
+++ b/internal/files/check.go
@@ -12,29 +12,50 @@
 	"yokestall/internal/xds/xdsfile"
 )
 
+// CheckResult is what Check found of a valid file.
+type CheckResult struct {
+	// Configuration is that of the program's file; nil: the file was of another kind.
+	Configuration *Configuration
+	// Warnings are about keys that are still valid but will soon not be.
+	Warnings []string
+	// Protections are those of the file and of the files that it names.
+	Protections []Protection
+}
+
 // Check checks one configuration file according to its kind. A cluster file, a tenants file or a file in xDS form is
-// checked alone. The program's file is checked together with the files and keys that it names, and its configuration is
-// returned. The warnings are about keys that are still valid but will soon not be.
-func Check(path string) (s *Configuration, warnings []string, err error) {
-	text, err := readFile(path)
+// checked alone. The program's file is checked together with the files and keys that it names. If the files are valid but
+// the keys are not, Check returns both a result and an error.
+func Check(path string) (*CheckResult, error) {
+	text, err := ReadAtRest(path)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	if !xdsfile.HasExtension(path) && !config.IsTenants(text) && !config.IsCluster(text) {
+		return checkProgram(path)
 	}
-	switch {
-	case xdsfile.HasExtension(path):
-		return nil, nil, checkXDS(path, text)
-	case config.IsTenants(text):
-		_, err = config.ParseTenants(config.File{Name: path, Text: text})
-		return nil, nil, err
-	case config.IsCluster(text):
-		_, err = config.ParseCluster(config.File{Name: path, Text: text})
-		return nil, nil, err
+	beside := false
+	if xdsfile.HasExtension(path) {
+		beside, err = checkXDS(path, text)
+	} else {
+		err = checkAlone(path, text)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &CheckResult{Protections: protectionOf(path, text, beside)}, nil
+}
+
+// checkProgram checks the program's file together with the files and keys that it names.
+func checkProgram(path string) (*CheckResult, error) {
+	s, err := Load(path)
+	if err != nil {
+		return nil, err
 	}
-	if s, err = Load(path); err != nil || s.Program.Keys.Folder == "" {
-		return s, nil, err
+	result := &CheckResult{Configuration: s, Protections: s.Protections}
+	if folder := s.Program.Keys.Folder; folder != "" {
+		result.Warnings, err = checkKeys(Beside(path, folder), s)
 	}
-	warnings, err = checkKeys(Beside(path, s.Program.Keys.Folder), s)
-	return s, warnings, err
+	return result, err
 }
 
 // checkKeys checks the keys in a folder, and that the folder has all keys that the configuration refers to.
@@ -61,11 +82,13 @@
 	return warnings, errors.Join(missing...)
 }
 
-// checkXDS checks the resources of one file in xDS form, but not the resources in other files that they refer to.
-func checkXDS(path string, text []byte) error {
+// checkXDS checks the resources of one file in xDS form, but not the resources in other files that they refer to. beside
+// reports whether the file's checksum is in a file beside it.
+func checkXDS(path string, text []byte) (beside bool, err error) {
 	list := []config.File{{Name: path, Text: text}}
-	if sum, err := readFile(path + xdsfile.ChecksumSuffix); err == nil {
+	sum, err := readFile(path + xdsfile.ChecksumSuffix)
+	if beside = err == nil; beside {
 		list = append(list, config.File{Name: path + xdsfile.ChecksumSuffix, Text: sum})
 	}
-	return xdsfile.Check(list)
+	return beside, xdsfile.Check(list)
 }
--- a/internal/files/configuration.go
+++ b/internal/files/configuration.go
@@ -11,6 +11,7 @@
 type Configuration struct {
 	Program     *config.Program
 	Version     *cluster.Version
+	Protections []Protection // of all files; empty for a version of a fleet
 	contentHash hash
 }
 
@@ -21,12 +22,19 @@
 	return load(newReader(path), NewParser())
 }
 
+// load reads the first version of a reader. If it is accepted, the reader records its files.
 func load(r *reader, p *Parser) (*Configuration, error) {
-	v, err := r.scan(p)
+	v, err := r.scanAtRest(p)
 	if err != nil {
 		return nil, err
 	}
-	return p.check(v)
+	s, err := p.check(v)
+	if err != nil {
+		return nil, err
+	}
+	s.Protections = protections(v)
+	r.accept(v)
+	return s, nil
 }
 
 // XDSOptions returns the options that a program's file sets for translating and tracking resources in xDS form.
--- a/internal/files/contents.go
+++ b/internal/files/contents.go
@@ -4,15 +4,18 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"slices"
 
 	"yokestall/internal/config"
 )
 
 // part is a file of a version. Its content is read only if it has to be parsed.
 type part struct {
-	name string
-	hash hash // hash of the content
-	text func() ([]byte, error)
+	name        string
+	hash        hash // hash of the content
+	text        func() ([]byte, error)
+	checksummed bool   // the file has a checksum, which parsing verifies
+	setting     string // value of the setting of the program's file that names the file; "": the program's file itself
 }
 
 func partOf(f config.File) part {
@@ -36,6 +39,11 @@
 	parsed   *config.Program // parsed from program
 }
 
+// parts returns all files.
+func (v *contents) parts() []part {
+	return slices.Concat([]part{v.program}, v.tenants, v.clusters, v.xds)
+}
+
 // hash returns a hash over the names and contents of all files.
 func (v *contents) hash() (sum hash) {
 	h := sha256.New()
--- a/internal/files/harness_test.go
+++ b/internal/files/harness_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"yokestall/internal/config"
 	"yokestall/internal/testutil"
 )
 
@@ -77,6 +78,12 @@
 	}
 }
 
+// writeSealed writes a file in place, without a rename, with a checksum.
+func (f *fixture) writeSealed(name, text string) {
+	f.t.Helper()
+	f.writeFile(name, string(config.AddChecksum([]byte(text))))
+}
+
 // replaceFile replaces a file atomically: it writes a new file and renames it.
 func (f *fixture) replaceFile(name, text string) {
 	f.t.Helper()
@@ -90,13 +97,12 @@
 func (f *fixture) watch() *Configuration { return f.watchWith(newNotifier) }
 
 // watchWith is like watch with another notifier.
-func (f *fixture) watchWith(notify func() (*notifier, error)) *Configuration {
+func (f *fixture) watchWith(notify func() (notifier, error)) *Configuration {
 	f.t.Helper()
-	w, first, err := Open(f.path, f.logs.Logger())
+	w, first, err := open(f.path, f.logs.Logger(), notify)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	w.newNotifier = notify
 	w.onPoll = func() {
 		select {
 		case f.polled <- struct{}{}:
--- a/internal/files/plan_test.go
+++ b/internal/files/plan_test.go
@@ -104,11 +104,10 @@
 	return planWatcher(t, path), path
 }
 
+// writeConfigFile replaces a file by a rename.
 func writeConfigFile(t testing.TB, name, text string) {
 	t.Helper()
-	if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
-		t.Fatal(err)
-	}
+	must(t, os.WriteFile(name+".new", []byte(text), 0o644), os.Rename(name+".new", name))
 }
 
 // cpuTime returns the CPU time that the process has used, in user and system mode.
--- a/internal/files/planwatcher_test.go
+++ b/internal/files/planwatcher_test.go
@@ -15,6 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(w.Close)
 	w.reader.clock = func() time.Time { return time.Now().Add(2 * stampSettleTime) }
 	w.poll(true)
 	return w
--- a/internal/files/races_test.go
+++ b/internal/files/races_test.go
@@ -4,6 +4,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"yokestall/internal/config"
 )
 
 // A write that leaves the stamp unchanged is detected if it follows within stampSettleTime after the stamp was first seen,
@@ -12,7 +14,7 @@
 	f := newFixture(t)
 	r := watchManually(f)
 	awaitClockTick(t)
-	complete := clusterText("", 1, 2, 3, 5)
+	complete := string(config.AddChecksum([]byte(clusterText("", 1, 2, 3, 5))))
 	f.writeFile(f.roomsFile(), complete[:len(complete)/2])
 	frozen := readStamp(f.roomsFile())
 	r.w.reader.stat = func(name string) stamp {
@@ -31,7 +33,7 @@
 	if log := f.logs.String(); strings.Contains(log, filesRejected) {
 		t.Errorf("a file that was being written is logged as rejected; log:\n%s", log)
 	}
-	f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 6))
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 6))
 	if s := r.poll(); s == nil || ports(s) != "1 2 3 6" { // at stampSettleTime after the stamp was first seen
 		t.Fatal("the poll after the second write did not return the version")
 	}
@@ -44,12 +46,12 @@
 	f.writeFile(other, clusterText("", 50))
 	r := watchManually(f)
 	awaitClockTick(t)
-	f.writeFile(other, clusterText("", 51))
+	f.writeSealed(other, clusterText("", 51))
 	reads := 0
 	r.w.reader.stat = func(name string) stamp {
 		if name == other {
 			if reads++; reads == 2 { // the scan has read rooms.toml before
-				f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5))
+				f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5))
 			}
 		}
 		return readStamp(name)
@@ -69,13 +71,13 @@
 	f.writeFile(f.roomsFile(), "x")
 	r.settle()
 	awaitClockTick(t)
-	f.writeFile(f.path, strings.Replace(program, `"1s"`, `"2s"`, 1))
+	f.writeSealed(f.path, strings.Replace(program, `"1s"`, `"2s"`, 1))
 	reads := 0
 	r.w.reader.stat = func(name string) stamp {
 		s := readStamp(name)
 		if name == f.roomsFile() {
 			if reads++; reads == 2 { // after the stat at the end of the scan, before the file is parsed
-				f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5))
+				f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5))
 			}
 		}
 		return s
--- a/internal/files/reader.go
+++ b/internal/files/reader.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -29,7 +30,7 @@
 // reader reads the files of a configuration repeatedly. It reads a file or folder again only if
 // readState.upToDate reports that the last read is no longer valid.
 type reader struct {
-	path      string // path of the program's file
+	path      string // path of the program's file, absolute
 	clock     func() time.Time
 	stat      func(name string) stamp
 	records   map[string]*record // by record.key
@@ -37,6 +38,11 @@
 	stable    bool               // no file changed during the last scan; unset by text if a file changed later
 	scanBytes int64              // total size of the files that the present scan has read so far
 	reads     int                // number of reads of files and folders, for tests
+
+	placements *placements     // nil: the reader reads once and does not observe the files
+	accepted   acceptedFiles   // of the version in force
+	paths      resolver        // paths that the present scan has resolved
+	watched    map[string]bool // folders that the present scan has watched
 }
 
 func newReader(path string) *reader {
@@ -71,6 +77,7 @@
 
 func (r *reader) scanOnce(p *Parser) (*contents, error) {
 	r.scanned, r.stable, r.scanBytes = r.scanned[:0], false, 0
+	r.paths, r.watched = resolver{}, map[string]bool{}
 	v, err := r.contents(p)
 	if errors.Is(err, errFilesChanged) {
 		return nil, err
@@ -98,6 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
+		tenants.setting = name
 		v.tenants = []part{tenants}
 	}
 	if folder := v.parsed.Files.Folder; folder != "" {
@@ -109,10 +117,25 @@
 		if v.xds, err = r.files(folder, "files in xDS form", isXDSFile); err != nil {
 			return nil, err
 		}
+		markChecksummed(v.xds)
 	}
 	return v, nil
 }
 
+// markChecksummed marks the files in xDS form that have their checksum in a file beside them, and these files.
+func markChecksummed(list []part) {
+	beside := map[string]bool{}
+	for i := range list {
+		if strings.HasSuffix(list[i].name, xdsfile.ChecksumSuffix) {
+			beside[list[i].name] = true
+			list[i].checksummed = true
+		}
+	}
+	for i := range list {
+		list[i].checksummed = list[i].checksummed || beside[list[i].name+xdsfile.ChecksumSuffix]
+	}
+}
+
 func isClusterFile(name string) bool { return strings.HasSuffix(name, ".toml") }
 
 func isXDSFile(name string) bool {
@@ -131,6 +154,7 @@
 		if err != nil {
 			return nil, err
 		}
+		f.setting = folder
 		list = append(list, f)
 	}
 	return list, nil
@@ -145,6 +169,7 @@
 		r.records[key] = f
 	}
 	r.scanned = append(r.scanned, f)
+	r.observe(key, name)
 	stamp, at := r.stat(name), r.clock()
 	if f.upToDate(stamp, at) {
 		return f, false
@@ -153,6 +178,31 @@
 	return f, true
 }
 
+// observe watches the folders that hold the file, or are the folder, that a path leads to, and the links on its way. It has to be
+// called before the file is read.
+func (r *reader) observe(key, name string) {
+	if r.placements == nil {
+		return
+	}
+	to, err := r.paths.resolve(name)
+	if err != nil {
+		return // reading finds the same error
+	}
+	folders := []string{filepath.Dir(to.file)}
+	if key != name { // a folder
+		folders = append(folders, to.file)
+	}
+	for _, ref := range to.references {
+		folders = append(folders, filepath.Dir(ref.path))
+	}
+	for _, folder := range folders {
+		if !r.watched[folder] {
+			r.watched[folder] = true
+			r.placements.watch(folder)
+		}
+	}
+}
+
 // folder returns the paths of a folder's files whose names are selected.
 func (r *reader) folder(name string, selected func(name string) bool) ([]string, error) {
 	f, stale := r.record(name+"/", name)
@@ -180,7 +230,8 @@
 	if r.scanBytes += f.size; r.scanBytes > maxTotalBytes {
 		return part{}, totalSizeProblem(name)
 	}
-	return part{name: name, hash: f.hash, text: func() ([]byte, error) { return r.text(f) }}, nil
+	text := func() ([]byte, error) { return r.text(f) }
+	return part{name: name, hash: f.hash, text: text, checksummed: f.checksummed}, nil
 }
 
 func totalSizeProblem(name string) error {
@@ -200,7 +251,7 @@
 		f.invalidate()
 		return err
 	}
-	f.text, f.size, f.hash = text, int64(len(text)), hashOf(text)
+	f.text, f.size, f.hash, f.checksummed = text, int64(len(text)), hashOf(text), config.HasChecksum(text)
 	return nil
 }
 
--- a/internal/files/record.go
+++ b/internal/files/record.go
@@ -15,11 +15,13 @@
 	key  string // key in reader.records: the name, followed by a slash for a folder
 	name string
 	readState
-	hash  hash     // hash of a file's content
-	text  []byte   // content of a file, held from its read until finishScan
-	size  int64    // size of a file's content, in bytes
-	names []string // paths of a folder's selected files
-	err   error    // why the file or folder could not be read; nil: it was read
+	hash hash // hash of a file's content
+	// checksummed is whether a file's content begins with a checksum.
+	checksummed bool
+	text        []byte   // content of a file, held from its read until finishScan
+	size        int64    // size of a file's content, in bytes
+	names       []string // paths of a folder's selected files
+	err         error    // why the file or folder could not be read; nil: it was read
 }
 
 // readState holds the stamp of a file or folder at its last read, and the times by which the read is judged up to date.
--- a/internal/files/rejected_test.go
+++ b/internal/files/rejected_test.go
@@ -75,7 +75,7 @@
 	os.Remove(filepath.Join(f.dir, "b.toml"))
 	os.Mkdir(f.dir, 0o755)
 	f.writeFile(f.path, program)
-	f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 9))
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 9))
 	f.awaitPorts("1 2 3 9")
 }
 
--- a/internal/files/resting_test.go
+++ b/internal/files/resting_test.go
@@ -23,6 +23,7 @@
 	if r.w, _, err = Open(f.path, f.logs.Logger()); err != nil {
 		f.t.Fatal(err)
 	}
+	f.t.Cleanup(r.w.Close)
 	r.w.reader.clock = func() time.Time { return r.now }
 	r.w.reader.stat = func(name string) stamp {
 		r.stats++
--- a/internal/files/stamp.go
+++ b/internal/files/stamp.go
@@ -24,6 +24,7 @@
 type stamp struct {
 	device, inode     uint64
 	mode              uint32
+	links             uint64 // number of hard links
 	size              int64
 	modified, changed int64         // mtime and ctime in Unix nanoseconds; a program can set mtime but not ctime
 	errno             syscall.Errno // error of stat; the other fields are zero then
@@ -41,7 +42,7 @@
 			return stamp{errno: errno}
 		default:
 			return stamp{
-				device: uint64(st.Dev), inode: st.Ino, mode: st.Mode, size: st.Size,
+				device: uint64(st.Dev), inode: st.Ino, mode: st.Mode, links: uint64(st.Nlink), size: st.Size,
 				modified: st.Mtim.Nano(), changed: st.Ctim.Nano(),
 			}
 		}
--- a/internal/files/tenants_test.go
+++ b/internal/files/tenants_test.go
@@ -41,7 +41,7 @@
 		t.Helper()
 		awaitClockTick(t)
 		parses := r.w.parser.parses()
-		f.writeFile(name, text)
+		f.writeSealed(name, text)
 		s := r.poll()
 		if s == nil {
 			t.Fatalf("the poll returned no version after a change; log:\n%s", f.logs.String())
@@ -66,7 +66,7 @@
 	if r.poll() != nil {
 		t.Error("an incomplete tenants file is accepted")
 	}
-	f.writeFile(name, tenantsFile(6, 40))
+	f.writeSealed(name, tenantsFile(6, 40))
 	if s := r.poll(); s == nil || s.Program.Tenants[0].QuotaPerSecond != 40 {
 		t.Error("the complete tenants file is not accepted")
 	}
@@ -90,14 +90,14 @@
 	}
 	f.writeFile(name, tenantsFile(5, -1))
 	f.awaitLog("tenants.toml:3: tenant 1: quota_per_s: -1")
-	if _, _, err := Check(name); err == nil || !strings.Contains(err.Error(), "tenants.toml:3: tenant 1: quota_per_s: -1") {
+	if _, err := Check(name); err == nil || !strings.Contains(err.Error(), "tenants.toml:3: tenant 1: quota_per_s: -1") {
 		t.Errorf("Check of a negative quota returned error %v, want the logged one", err)
 	}
-	f.writeFile(name, tenantsFile(5, 7))
+	f.replaceFile(name, tenantsFile(5, 7))
 	if s := f.awaitVersion(); s.Program.Tenants[0].QuotaPerSecond != 7 {
 		t.Errorf("the first tenant is %+v, want a quota of 7", s.Program.Tenants[0])
 	}
-	if _, _, err := Check(name); err != nil {
+	if _, err := Check(name); err != nil {
 		t.Errorf("Check of a valid tenants file: %v", err)
 	}
 	f.writeFile(f.path, text+tenantsText(1, 20))
--- a/internal/files/watcher.go
+++ b/internal/files/watcher.go
@@ -4,10 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
-	"path/filepath"
 	"reflect"
-	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"yokestall/internal/cluster"
@@ -20,6 +19,9 @@
 // filesRejected is the log event for files that were rejected.
 const filesRejected = "configuration files rejected, keeping the last good version"
 
+// fileUnverified is the log event for a file that is valid but not known to be whole.
+const fileUnverified = "configuration file not known to be whole, keeping the last good version"
+
 // Watcher follows the files of a configuration. Create it with Open. It must be used by one goroutine at a time.
 type Watcher struct {
 	path    string // path of the program's file
@@ -29,26 +31,54 @@
 	current *Configuration
 	number  uint64 // version number of current
 
+	status       atomic.Pointer[Status]
 	verdict      verdict         // verdict of the last poll that read files
 	lastRejected hash            // verdict.hash at the last logVerdict; zero if the files have been accepted or restored since
 	loggedCauses map[string]bool // causes logged since the last accepted version
 
-	newNotifier func() (*notifier, error)
-	onPoll      func() // called after each poll that the timer caused, for tests; may be nil
+	notified uint64 // placements.changes at the last poll
+	onPoll   func() // called after each poll that the timer caused, for tests; may be nil
+}
+
+// Status says what a Watcher has found. It is for metrics.
+type Status struct {
+	Version         uint64 // number of the version in force
+	Rejected        bool   // the files are not those of the version in force, since they are rejected
+	UnverifiedFiles int    // number of files that are valid, but rejected as not known to be whole
+}
+
+// Status returns the present status. It may be called on any goroutine.
+func (w *Watcher) Status() Status { return *w.status.Load() }
+
+// updateStatus sets the status by the verdict.
+func (w *Watcher) updateStatus() {
+	s := Status{Version: w.number, Rejected: w.verdict.err != nil}
+	if err, unverified := errors.AsType[*UnverifiedError](w.verdict.err); unverified {
+		s.UnverifiedFiles = len(err.Files)
+	}
+	w.status.Store(&s)
 }
 
 // verdict says what is wrong with the files, as of the last poll that read any of them.
 type verdict struct {
 	hash hash  // hash of the contents of the files; hash of err's text if not all could be read
 	err  error // why the files are rejected; nil: they are not
+	// unverified is whether err is an *UnverifiedError.
+	unverified bool
 }
 
-// Open reads the first version of the configuration whose program's file is at path. It returns an error if that version
-// is rejected.
+// Open reads the first version of the configuration whose program's file is at path, and observes its files from then on. It
+// returns an error if that version is rejected. The caller has to call Run or Close.
 func Open(path string, log *slog.Logger) (*Watcher, *Configuration, error) {
+	return open(path, log, newNotifier)
+}
+
+func open(path string, log *slog.Logger, newNotifier func() (notifier, error)) (*Watcher, *Configuration, error) {
 	r, p := newReader(path), NewParser()
+	r.placements = newPlacements(newNotifier, log)
 	s, err := load(r, p)
 	if err != nil {
+		r.placements.close()
 		return nil, nil, err
 	}
 	r.finishScan(true)
@@ -56,52 +86,43 @@
 	s.Version.Number = 1
 	w := &Watcher{
 		path: path, log: log, reader: r, parser: p, current: s, number: 1,
-		loggedCauses: map[string]bool{}, newNotifier: newNotifier,
+		loggedCauses: map[string]bool{},
 	}
+	w.updateStatus()
 	return w, s, nil
 }
 
+// Close ends the observation of the files. Run does it too.
+func (w *Watcher) Close() { w.reader.placements.close() }
+
 // Run calls apply with each new version until ctx ends, on the goroutine that called Run. File notification makes it poll
 // early. Without notification, the polls at the configured interval find all changes by the stamps and contents of the
 // files.
 func (w *Watcher) Run(ctx context.Context, apply func(*Configuration)) {
-	notifier := w.startNotifier()
-	defer notifier.close()
-	watched := w.folders()
+	notifications, stop := w.reader.placements.notify()
+	defer stop()
 	for {
-		reason := awaitWakeup(ctx, notifier, w.current.Program.Files.Poll)
+		reason := awaitWakeup(ctx, notifications, w.current.Program.Files.Poll)
 		if reason == wakeupStopped {
 			return
 		}
 		byTimer := reason == wakeupTimer
+		if !byTimer && !w.hasNotifications() {
+			continue
+		}
 		if s := w.poll(byTimer); s != nil {
 			apply(s)
 		}
 		if byTimer && w.onPoll != nil {
 			w.onPoll()
 		}
-		if folders := w.folders(); !slices.Equal(folders, watched) {
-			for _, folder := range folders {
-				notifier.add(folder) // after an error, polling finds the changes
-			}
-			watched = folders
-		}
 	}
 }
 
-// startNotifier returns a notifier of the present folders, or a notifier without events if notification is unavailable.
-func (w *Watcher) startNotifier() *notifier {
-	n, err := w.newNotifier()
-	if err != nil {
-		w.log.Warn("file notification unavailable, polling only", "err", err)
-		return nopNotifier()
-	}
-	for _, folder := range w.folders() {
-		if err := n.add(folder); err != nil {
-			w.log.Warn("file notification unavailable, polling only", "folder", folder, "err", err)
-		}
-	}
-	return n
+// hasNotifications reports whether changes were notified of since the last poll.
+func (w *Watcher) hasNotifications() bool {
+	w.reader.placements.update()
+	return w.reader.placements.changes != w.notified
 }
 
 // wakeup is the reason why awaitWakeup returned.
@@ -109,47 +130,32 @@
 
 const (
 	wakeupStopped  wakeup = iota // the context has ended; the files are not polled
-	wakeupNotified               // a change was notified, or the notifier reported an error such as lost events
+	wakeupNotified               // changes may have been notified
 	wakeupTimer                  // the poll interval has passed
 )
 
 // awaitWakeup waits for a notification, the end of the poll interval or the end of ctx.
-func awaitWakeup(ctx context.Context, n *notifier, pollInterval time.Duration) wakeup {
+func awaitWakeup(ctx context.Context, notifications <-chan struct{}, pollInterval time.Duration) wakeup {
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return wakeupStopped
-	case <-n.events:
-		return wakeupNotified
-	case <-n.errs:
+	case <-notifications:
 		return wakeupNotified
 	case <-timer.C:
 		return wakeupTimer
 	}
 }
 
-// folders returns the folders that contain files of the current version.
-func (w *Watcher) folders() []string {
-	p, all := w.current.Program, []string{filepath.Dir(w.path)}
-	for _, folder := range []string{p.Files.Folder, p.XDS.Folder} {
-		if folder != "" {
-			all = append(all, Beside(w.path, folder))
-		}
-	}
-	if p.Files.Tenants != "" {
-		if folder := filepath.Dir(Beside(w.path, p.Files.Tenants)); !slices.Contains(all, folder) {
-			all = append(all, folder)
-		}
-	}
-	return all
-}
-
 // poll returns the new version if there is one and it is accepted, else nil. If no file has changed since the last scan, no
-// file is read and the verdict stays. byTimer is false for a poll after a notification. Such a poll does not log a
-// rejection, since the notification may come while a file is being written.
+// file is read and the verdict stays, unless a file is not known to be whole, which may come to be known. byTimer is false for
+// a poll after a notification. Such a poll does not log a rejection, since the notification may come while a file is being
+// written.
 func (w *Watcher) poll(byTimer bool) *Configuration {
-	if !w.reader.unchanged() {
+	w.reader.placements.update()
+	w.notified = w.reader.placements.changes
+	if !w.reader.unchanged() || w.verdict.unverified {
 		if s := w.read(); s != nil {
 			return s
 		}
@@ -163,12 +169,14 @@
 // read reads the files that changed. It returns the new version if there is one and it is accepted. Otherwise it sets the
 // verdict and returns nil.
 func (w *Watcher) read() *Configuration {
+	defer w.updateStatus()
 	s, err := w.readNext()
 	w.reader.finishScan(err == nil)
 	switch {
 	case err != nil:
 		w.parser.end(rejected)
 		w.verdict = verdict{hash: hashOf([]byte(err.Error())), err: err}
+		_, w.verdict.unverified = errors.AsType[*UnverifiedError](err)
 		if s != nil {
 			w.verdict.hash = s.contentHash
 		}
@@ -197,6 +205,7 @@
 	}
 	contentHash := v.hash()
 	if contentHash == w.current.contentHash {
+		w.reader.accept(v)
 		return nil, nil
 	}
 	s, err := w.parser.check(v)
@@ -207,9 +216,13 @@
 		err = errors.Join(
 			cluster.CheckRemovals(w.current.Version, s.Version, s.Program.Files.MaxShare), w.checkRoutesRemain(s))
 	}
+	if err == nil {
+		err = w.reader.verify(v)
+	}
 	if err != nil {
 		return &Configuration{contentHash: contentHash}, err
 	}
+	w.reader.accept(v)
 	return s, nil
 }
 
@@ -229,14 +242,35 @@
 		w.lastRejected = w.verdict.hash
 		return
 	}
+	if err, unverified := errors.AsType[*UnverifiedError](w.verdict.err); unverified {
+		w.logUnverified(err.Files)
+		return
+	}
 	for _, cause := range strings.Split(w.verdict.err.Error(), "\n") {
-		if !w.loggedCauses[cause] && len(w.loggedCauses) < maxLoggedCauses {
-			w.loggedCauses[cause] = true
+		if w.isNewCause(cause) {
 			w.log.Error(filesRejected, "version", w.number, "cause", cause)
 		}
 	}
 }
 
+// logUnverified logs which files are not known to be whole.
+func (w *Watcher) logUnverified(list []UnverifiedFile) {
+	for _, f := range list {
+		if w.isNewCause(f.Path + ": " + f.Reason) {
+			w.log.Error(fileUnverified, "version", w.number, "file", f.Path, "reason", f.Reason, "remedy", f.Remedy())
+		}
+	}
+}
+
+// isNewCause records a cause. It reports whether the cause is to be logged.
+func (w *Watcher) isNewCause(cause string) bool {
+	if w.loggedCauses[cause] || len(w.loggedCauses) >= maxLoggedCauses {
+		return false
+	}
+	w.loggedCauses[cause] = true
+	return true
+}
+
 // reuseUnchanged replaces clusters of a new version by equal clusters of the current version. A user of a cluster then sees
 // that it is unchanged by comparing pointers.
 func (w *Watcher) reuseUnchanged(s *Configuration) {
--- a/internal/files/watcher_test.go
+++ b/internal/files/watcher_test.go
@@ -6,10 +6,12 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"yokestall/internal/config"
 )
 
-// The Watcher finds a change however the file is replaced: by rename, in place, by two renames in a row, slowly, by removal
-// and a new file, or by an exchanged symbolic link to a folder.
+// The Watcher finds a change however the file is replaced: by rename, by two renames in a row, by an exchanged symbolic link to a
+// folder, or, with a checksum, in place, slowly, or by removal and a new file.
 func TestWaysToReplace(t *testing.T) {
 	f := newFixture(t)
 	if got := ports(f.watch()); got != "1 2 3 4" {
@@ -17,12 +19,12 @@
 	}
 	f.replaceFile(f.roomsFile(), clusterText("", 1, 2, 3)) // replaced by rename
 	f.awaitPorts("1 2 3")
-	f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5)) // written in place
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5)) // written in place
 	f.awaitPorts("1 2 3 5")
 	f.replaceFile(f.roomsFile(), clusterText("", 1, 2)) // replaced twice within a second
 	f.replaceFile(f.roomsFile(), clusterText("", 1, 2, 6))
 	f.awaitPorts("1 2 6")
-	text := clusterText("", 1, 2, 7) // written slowly, a few bytes at a time
+	text := string(config.AddChecksum([]byte(clusterText("", 1, 2, 7)))) // written slowly, a few bytes at a time
 	file, err := os.Create(f.roomsFile())
 	if err != nil {
 		t.Fatal(err)
@@ -37,7 +39,7 @@
 		t.Fatal(err)
 	}
 	f.awaitLog("to remove a cluster, first say")
-	f.writeFile(f.roomsFile(), clusterText("", 1, 2, 8))
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 8))
 	f.awaitPorts("1 2 8")
 	// Exchange a symbolic link to a folder, as mounted configuration does.
 	one, two := filepath.Join(t.TempDir(), "one"), filepath.Join(t.TempDir(), "two")
@@ -89,7 +91,7 @@
 	if len(f.versions) > 0 {
 		t.Error("a version with unchanged contents is accepted")
 	}
-	f.writeFile(filepath.Join(f.dir, "b.toml"), clusterText("", 7))
+	f.replaceFile(filepath.Join(f.dir, "b.toml"), clusterText("", 7))
 	s := f.awaitVersion()
 	if s.Version.Clusters["rooms"] != first.Version.Clusters["rooms"] || s.Version.Clusters["b"] == nil {
 		t.Errorf("clusters are %+v, want the same rooms as before and b", s.Version.Clusters)
--- a/internal/files/xdsfolder_test.go
+++ b/internal/files/xdsfolder_test.go
@@ -50,14 +50,14 @@
 	if len(f.versions) > 0 {
 		t.Error("an incomplete file is accepted")
 	}
-	if _, _, err := Check(file); err == nil || !strings.Contains(err.Error(), "is not whole") {
+	if _, err := Check(file); err == nil || !strings.Contains(err.Error(), "is not whole") {
 		t.Errorf("Check of an incomplete file returned error %v, want one with \"is not whole\"", err)
 	}
-	f.writeFile(file, suites(3)+"...\n")
+	f.writeSealed(file, suites(3)+"...\n")
 	if c := f.awaitVersion().Version.Clusters["suites"]; c.Endpoints[0].Address != "127.0.0.1:3" {
 		t.Errorf("after the change the cluster is %+v, want the address 127.0.0.1:3", c)
 	}
-	if _, _, err := Check(file); err != nil {
+	if _, err := Check(file); err != nil {
 		t.Errorf("Check of a complete file: %v", err)
 	}
 }
@@ -70,7 +70,7 @@
 	must(t, os.Mkdir(folder, 0o755))
 	f.writeFile(f.path, withXDSFolder(program))
 	list := func(name string, port int) {
-		f.writeFile(filepath.Join(folder, name+".yaml"), xdsCluster(name, port)+"...\n")
+		f.writeSealed(filepath.Join(folder, name+".yaml"), xdsCluster(name, port)+"...\n")
 	}
 	list("suites", 1)
 	list("villas", 2)
@@ -84,7 +84,7 @@
 		t.Error("polls read or parsed files though none had changed")
 	}
 	awaitClockTick(t)
-	f.writeFile(f.roomsFile(), clusterText("", 1, 2, 3, 5))
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 5))
 	if s := r.poll(); s == nil || s.Version.Clusters["suites"] != suites || r.w.parser.parses() != parses+1 {
 		t.Error("after a change of a cluster file, the clusters in xDS form are not the same values, or more than one file is parsed")
 	}
--- a/internal/xds/xdsfile/form.go
+++ b/internal/xds/xdsfile/form.go
@@ -27,19 +27,23 @@
 	"yokestall/internal/xds/ads"
 )
 
-// resources parses the resources of a file. checksum is the content of the checksum file, which only a binary file needs.
+// resources parses the resources of a file. checksum is the content of the checksum file, which only a binary file needs. If
+// there is one beside a file in another form, it has to match too.
 func resources(f config.File, checksum []byte) ([]*anypb.Any, error) {
 	if len(f.Text) > config.MaxFileBytes {
 		return nil, fmt.Errorf("larger than the limit of %d bytes", config.MaxFileBytes)
 	}
+	if (path.Ext(f.Name) == ".pb" || checksum != nil) && !matchesChecksum(f.Text, checksum) {
+		return nil, fmt.Errorf("is not whole: its SHA-256 is not in %s, which has to hold it as sha256sum writes it",
+			path.Base(f.Name)+ChecksumSuffix)
+	}
 	switch path.Ext(f.Name) {
 	case ".pb":
-		if !matchesChecksum(f.Text, checksum) {
-			return nil, fmt.Errorf("is not whole: its SHA-256 is not in %s, which has to hold it as sha256sum writes it",
-				path.Base(f.Name)+ChecksumSuffix)
-		}
 		return parseBinary(f.Text)
 	case ".yaml", ".yml":
+		if err := config.VerifyChecksum("", f.Text); err != nil {
+			return nil, err
+		}
 		if !hasDocumentEnd(f.Text) {
 			return nil, errors.New(`is not whole: the last line has to be "..."`)
 		}
