--- a/internal/app/partialfiles_test.go
+++ b/internal/app/partialfiles_test.go
@@ -101,11 +101,12 @@
 	*testApp
 	t       *testing.T
 	random  *rand.Rand
-	program string // path of the program's file
-	cluster string // path of the cluster's file
-	linked  bool   // both are reached by the symbolic link current, to a folder of the version
-	rooms   int    // requests at once to the cluster, whose servers take turns
-	folders int    // number of folders of versions so far
+	program string            // path of the program's file
+	cluster string            // path of the cluster's file
+	linked  bool              // both are reached by the symbolic link current, to a folder of the version
+	rooms   int               // requests at once to the cluster, whose servers take turns
+	folders int               // number of folders of versions so far
+	former  map[string]string // whole files of the first version, by path
 	applied atomic.Int64
 	logs    *testutil.Logs
 }
@@ -119,6 +120,7 @@
 		folder = filepath.Join(root, "current")
 	}
 	r.program, r.cluster = filepath.Join(folder, "yokestall.toml"), filepath.Join(folder, "clusters", "rooms.toml")
+	r.former = map[string]string{r.program: v.program, r.cluster: v.cluster}
 	if linked {
 		r.swapLink(v)
 		return r
@@ -299,9 +301,7 @@
 			os.Chtimes(path, time.Now(), time.Now().Add(-time.Hour)))
 	}},
 	{"renamed, then written", func(r *partialRig, path, text string) {
-		former, err := os.ReadFile(path)
-		r.must(err)
-		r.rename(path, string(former))
+		r.rename(path, r.former[path])
 		r.must(os.WriteFile(path, []byte(text), 0o644))
 	}},
 	{"written over", func(r *partialRig, path, text string) {
--- a/internal/cli/fleet_publish.go
+++ b/internal/cli/fleet_publish.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 
 	"github.com/spf13/cobra"
 
@@ -28,7 +30,7 @@
 			if change {
 				read = publishChange
 			}
-			propose, err := read(args[0])
+			propose, err := read(cmd.ErrOrStderr(), args[0])
 			if err != nil {
 				return err
 			}
@@ -41,24 +43,27 @@
 	return c
 }
 
-// publishFiles reads a configuration file with its cluster files, and returns a function that publishes them as a version.
-func publishFiles(path string) (proposeFunc, error) {
+// publishFiles reads a configuration file with its cluster files, and returns a function that publishes them as a version. It
+// writes to notes which of them have no checksum.
+func publishFiles(notes io.Writer, path string) (proposeFunc, error) {
 	list, err := files.Bundle(path)
 	if err != nil {
 		return nil, err
 	}
+	fmt.Fprintln(notes, files.ProtectionLine(files.BundleProtections(list)))
 	return func(ctx context.Context, c *agent.Client, id string, base uint64) (*agent.PublishReply, error) {
 		return c.Publish(ctx, id, base, list)
 	}, nil
 }
 
 // publishChange reads a file with a change of one cluster's endpoint list, and returns a function that publishes the
-// change as a version.
-func publishChange(path string) (proposeFunc, error) {
+// change as a version. It writes to notes whether the file has a checksum.
+func publishChange(notes io.Writer, path string) (proposeFunc, error) {
 	text, err := files.ReadAtRest(path)
 	if err != nil {
 		return nil, err
 	}
+	fmt.Fprintln(notes, files.ProtectionLine(files.BundleProtections([]config.File{{Name: path, Text: text}})))
 	return func(ctx context.Context, c *agent.Client, id string, base uint64) (*agent.PublishReply, error) {
 		return c.PublishChange(ctx, id, base, config.File{Name: path, Text: text})
 	}, nil
--- a/internal/config/doc.go
+++ b/internal/config/doc.go
@@ -6,6 +6,7 @@
 // then decoded strictly, and each part of it is checked and converted:
 //
 //   - survey.go, schema.go: limits and unknown keys, checked before a file is decoded into memory
+//   - checksum.go: the checksum that a file may have in its first line
 //   - decode.go, problems.go: decoding of TOML, and problems with their lines
 //   - programfile.go, parseprogram.go, program.go: the program's file as decoded, its parsing, and the result
 //   - listeners.go, classes.go, tenants.go, routes.go, xds.go, extproc.go, agree.go: parts of the program's file
--- a/internal/files/plan_test.go
+++ b/internal/files/plan_test.go
@@ -173,6 +173,10 @@
 			{"tenant", func(i int) {
 				writeConfigFile(b, path, strings.Replace(text, "per_s = 20", fmt.Sprintf("per_s = %d", 100+i%100), 1))
 			}},
+			{"tenant-checksum", func(i int) {
+				changed := strings.Replace(text, "per_s = 20", fmt.Sprintf("per_s = %d", 300+i%100), 1)
+				writeConfigFile(b, path, string(config.AddChecksum([]byte(changed))))
+			}},
 		} {
 			b.Run(fmt.Sprintf("tenants=%d/%s", tenants, change.name), func(b *testing.B) {
 				measure(b, func(i int) { change.make(i + 1) }, func() {
--- a/internal/files/protection.go
+++ b/internal/files/protection.go
@@ -25,6 +25,14 @@
 	return list
 }
 
+// BundleProtections returns the protections of the files of a bundle.
+func BundleProtections(list []config.File) (protections []Protection) {
+	for _, f := range list {
+		protections = append(protections, Protection{f.Name, config.HasChecksum(f.Text)})
+	}
+	return protections
+}
+
 // protectionOf returns the protection of a single file. beside is whether its checksum is in a file beside it.
 func protectionOf(path string, text []byte, beside bool) []Protection {
 	return []Protection{{path, beside || config.HasChecksum(text)}}
--- a/internal/tlskeys/store_test.go
+++ b/internal/tlskeys/store_test.go
@@ -106,3 +106,25 @@
 	_, err := c.Read(b[:])
 	return err
 }
+
+// A bundle of roots that is written in place, and whose writer stops behind a whole certificate, does not replace the former one.
+func TestRootsAreNotTakenInPart(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	bundle := filepath.Join(t.TempDir(), "a.ca")
+	write := func(text string) {
+		if err := os.WriteFile(bundle, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(first.PEM) + string(second.PEM))
+	store, err := Open(filepath.Dir(bundle), "", testutil.DiscardLogger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	former := store.Set().Roots("a")
+	write(string(second.PEM))
+	store.Reload(time.Now())
+	if !store.Set().Roots("a").Equal(former) {
+		t.Error("after a part of the bundle second and first was written, its first root alone is trusted; want the former bundle")
+	}
+}
