--- a/internal/app/partialfiles_test.go
+++ b/internal/app/partialfiles_test.go
@@ -340,11 +340,34 @@
 		wait := r.write(func() { way.write(r, path, text[:cut]) })
 		r.watchAnswers(what, time.Duration(random.Int64N(int64(maxPartialHold))), old, whole(cut == len(text), want, old))
 		wait()
+		r.startInTheMiddle(what, path, old, next)
 		r.watchAnswers(what, 4*poll, old, whole(cut == len(text), want, old))
 	}
 	r.finish(path, text, want, next, old)
 }
 
+// startInTheMiddle starts a second program by the files as they are. If the file that is written has a checksum, the start fails
+// unless the file is whole. Without a checksum nothing tells a part from the whole at a start.
+func (r *partialRig) startInTheMiddle(what, path string, versions ...fileVersion) {
+	r.t.Helper()
+	text, err := os.ReadFile(path)
+	r.must(err)
+	if !config.HasChecksum(text) {
+		return
+	}
+	watcher, _, err := files.Open(r.program, testutil.DiscardLogger)
+	if err != nil {
+		return
+	}
+	watcher.Close()
+	for _, v := range versions {
+		if string(text) == v.program || string(text) == v.cluster {
+			return
+		}
+	}
+	r.t.Errorf("%s: a program starts by a part:\n%s", what, text)
+}
+
 // expectedAfter returns the version with the answers after the program's file or the cluster's file became that of next.
 func expectedAfter(program bool, old, next fileVersion) fileVersion {
 	v := fileVersion{old.program, next.cluster, slices.Concat(old.answers[:plainPaths], next.answers[plainPaths:])}
