Say "complete" in the code and log event of the rule for files

Why: the new code used the operators' word where the field, and the code beside it, has another.

Change: comments, the log event, the remedy's text and pages that quote them.

--- a/internal/app/partialfiles_test.go
+++ b/internal/app/partialfiles_test.go
@@ -32,8 +32,8 @@
 )
 
 // A writer stops at any byte of a file that it writes in place, for good or for a while, while the program serves requests. All
-// answers are those of a whole version: the one that was in force, and in the end the new one, which comes by a rename, a swapped
-// link, `yokestall seal` or a write in place with a checksum. Guards against a part of a file taken as a version (review/8). The
+// answers are those of a complete version: the one that was in force, and in the end the new one, which comes by a rename, a
+// swapped link, `yokestall seal` or a write in place with a checksum. Guards against a part of a file taken as a version (review/8). The
 // environment variables YOKESTALL_DRAWS and YOKESTALL_SEED set the number of draws and the first seed; a draw repeats alone with
 // -run TestPartialFiles/seed=N.
 func TestPartialFiles(t *testing.T) {
@@ -106,7 +106,7 @@
 	linked  bool              // both are reached by the symbolic link current, to a folder of the version
 	rooms   int               // requests at once to the cluster, whose servers take turns
 	folders int               // number of folders of versions so far
-	former  map[string]string // whole files of the first version, by path
+	former  map[string]string // complete files of the first version, by path
 	applied atomic.Int64
 	logs    *testutil.Logs
 }
@@ -347,7 +347,7 @@
 }
 
 // startInTheMiddle starts a second program by the files as they are. If the file that is written has a checksum, the start fails
-// unless the file is whole. Without a checksum nothing tells a part from the whole at a start.
+// unless the file is complete. Without a checksum nothing tells a part from the complete file at a start.
 func (r *partialRig) startInTheMiddle(what, path string, versions ...fileVersion) {
 	r.t.Helper()
 	text, err := os.ReadFile(path)
@@ -377,7 +377,7 @@
 	return v
 }
 
-// whole returns next if the whole file was written, and old otherwise.
+// whole returns next if all of the file was written, and old otherwise.
 func whole(all bool, next, old fileVersion) fileVersion {
 	if all {
 		return next
@@ -400,7 +400,7 @@
 	return fileVersion{seal(v.program), seal(v.cluster), v.answers}
 }
 
-// finish puts the new content of a file in place in one of the ways by which it is known to be whole, and waits for it.
+// finish puts the new content of a file in place in one of the ways by which it is known to be complete, and waits for it.
 func (r *partialRig) finish(path, text string, want, next, old fileVersion) {
 	r.t.Helper()
 	switch way := r.random.IntN(4); {
@@ -427,7 +427,7 @@
 	r.watchAnswers("after the new version", 2*time.Millisecond, want, next)
 }
 
-// A thousand changes in a row, by all the ways by which a file is known to be whole, come into force each, and no part of one does.
+// A thousand changes in a row, by all the ways by which a file is known to be complete, come into force each, and no part of one does.
 func TestManyChanges(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	boxes := startPartialBoxes(t)
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -18,7 +18,7 @@
 		Short: "Check configuration files with the cluster files that they point to, " +
 			"or cluster files and files of tenants alone",
 		Long: "Prints file:line: what is wrong, and exits with 1 if anything is. The running program gives the same verdict.\n" +
-			"To the log it says by what a part of a valid file is told from the whole.",
+			"To the log it says by what a part of a valid file is told from the complete file.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, paths []string) error { return checkFiles(out, notes, paths) },
 	}
--- a/internal/cli/metrics.go
+++ b/internal/cli/metrics.go
@@ -34,7 +34,7 @@
 			}
 			return 0
 		})
-	gauge("files_unverified", "Number of configuration files that are valid, but held back as not known to be whole.",
+	gauge("files_unverified", "Number of configuration files that are valid, but held back as not known to be complete.",
 		func(s files.Status) float64 { return float64(s.UnverifiedFiles) })
 	return registry
 }
--- a/internal/cli/seal.go
+++ b/internal/cli/seal.go
@@ -13,8 +13,8 @@
 func newSealCommand(out io.Writer) *cobra.Command {
 	return &cobra.Command{
 		Use:   "seal FILE...",
-		Short: "Give configuration files a checksum of what they hold now, by which they are known to be whole",
-		Long: "Says that each FILE is whole as it is: the program's file, a cluster file, " +
+		Short: "Give configuration files a checksum of what they hold now, by which they are known to be complete",
+		Long: "Says that each FILE is complete as it is: the program's file, a cluster file, " +
 			"a file of tenants or a file in xDS form. A valid file\n" +
 			"gets a checksum in its first line (JSON and .pb: in FILE.sha256 beside it) and is replaced by a rename, " +
 			"so that a running program\n" +
--- a/internal/config/checksum.go
+++ b/internal/config/checksum.go
@@ -50,7 +50,7 @@
 	return fmt.Appendf(nil, "%s%x\n", checksumPrefix, sha256.Sum256(content))
 }
 
-// withoutChecksum returns the content that follows the checksum line; the whole text if there is none.
+// withoutChecksum returns the content that follows the checksum line; the complete text if there is none.
 func withoutChecksum(text []byte) []byte {
 	if !HasChecksum(text) {
 		return text
--- a/internal/files/doc.go
+++ b/internal/files/doc.go
@@ -4,8 +4,8 @@
 //
 //   - configuration.go, check.go: a checked version, and the check of a single file
 //   - reader.go, record.go, fileread.go, stamp.go: finding the changed files by their stamps, and reading them
-//   - integrity.go, placements.go, resolution.go, openforwriting.go: the rule by which a file is known to be whole, and what it
-//     looks at; seal.go, protection.go: giving files a checksum, and saying which have one
+//   - integrity.go, placements.go, resolution.go, openforwriting.go: the rule by which a file is known to be complete, and
+//     what it looks at; seal.go, protection.go: giving files a checksum, and saying which have one
 //   - parser.go, cache.go, contents.go: incremental parsing, which only parses what differs between versions
 //   - bundle.go, change.go: versions of a fleet, which are lists of files that include changes of endpoint lists
 //   - watcher.go: following the files of a node; package inotify: the notifications of the kernel
--- a/internal/files/integrity.go
+++ b/internal/files/integrity.go
@@ -9,8 +9,8 @@
 	"yokestall/internal/config"
 )
 
-// This file has the rule by which a configuration file is known to be whole. All that read configuration files keep to it. A file
-// is known to be whole if
+// This file has the rule by which a configuration file is known to be complete. All that read configuration files keep to it.
+// A file is known to be complete if
 //
 //   - it has a checksum that matches, in its first line or, for files in xDS form, in the file beside it; parsing checks it; or
 //   - it came to its place in one step while a Watcher observed it, by a rename or by a changed reference that leads to it, and
@@ -27,33 +27,33 @@
 	writerPollInterval = 50 * time.Millisecond
 )
 
-// SealCommand is the command that puts a file into force that is not known to be whole. The file's path follows it.
+// SealCommand is the command that puts a file into force that is not known to be complete. The file's path follows it.
 const SealCommand = "yokestall seal"
 
-// UnverifiedFile is a file that is not known to be whole.
+// UnverifiedFile is a file that is not known to be complete.
 type UnverifiedFile struct {
 	Path   string
 	Reason string
 }
 
-// UnverifiedError is returned for files that are valid, but not known to be whole.
+// UnverifiedError is returned for files that are valid, but not known to be complete.
 type UnverifiedError struct{ Files []UnverifiedFile }
 
 // Error returns a line for each file, with its reason and the remedy.
 func (e *UnverifiedError) Error() string {
 	lines := make([]string, len(e.Files))
 	for i, f := range e.Files {
-		lines[i] = fmt.Sprintf("%s: is not known to be whole: it %s, and has no checksum; %s", f.Path, f.Reason, f.Remedy())
+		lines[i] = fmt.Sprintf("%s: is not known to be complete: it %s, and has no checksum; %s", f.Path, f.Reason, f.Remedy())
 	}
 	return strings.Join(lines, "\n")
 }
 
 // Remedy says how an operator puts the file in force as it is.
 func (f UnverifiedFile) Remedy() string {
-	return fmt.Sprintf("if it is whole, `%s %s` puts it in force", SealCommand, f.Path)
+	return fmt.Sprintf("if it is complete, `%s %s` puts it in force", SealCommand, f.Path)
 }
 
-// The reasons why a file without a checksum is not known to be whole.
+// The reasons why a file without a checksum is not known to be complete.
 const (
 	reasonOpen      = "is open for writing in another process"
 	reasonWritten   = "was written in place"
@@ -107,7 +107,7 @@
 	return to.file
 }
 
-// verify returns an *UnverifiedError if a file of a version is not known to be whole. The version's files are valid, so that
+// verify returns an *UnverifiedError if a file of a version is not known to be complete. The version's files are valid, so that
 // checksums match.
 func (r *reader) verify(v *contents) error {
 	var found []UnverifiedFile
@@ -126,8 +126,8 @@
 	return nil
 }
 
-// unverifiedReason returns why a file without a checksum is not known to be whole; "" if it is. The order matters: once the file
-// is not open for writing, the notifications of all writes are there.
+// unverifiedReason returns why a file without a checksum is not known to be complete; "" if it is. The order matters: once the
+// file is not open for writing, the notifications of all writes are there.
 func (r *reader) unverifiedReason(paths *resolver, f part) string {
 	to, err := r.resolve(paths, f)
 	if err != nil {
--- a/internal/files/integrity_test.go
+++ b/internal/files/integrity_test.go
@@ -15,7 +15,7 @@
 type wholenessCase struct {
 	name   string
 	change func(f *fixture, path, text string)
-	reason string // why the file is not known to be whole; "": it is accepted
+	reason string // why the file is not known to be complete; "": it is accepted
 }
 
 func wholenessCases() []wholenessCase {
@@ -100,7 +100,7 @@
 				}
 			}
 			log := f.logs.String()
-			wanted := fmt.Sprintf("file=%s reason=%q remedy=\"if it is whole, `yokestall seal %s` puts it in force\"", f.roomsFile(), tc.reason, f.roomsFile())
+			wanted := fmt.Sprintf("file=%s reason=%q remedy=\"if it is complete, `yokestall seal %s` puts it in force\"", f.roomsFile(), tc.reason, f.roomsFile())
 			if strings.Count(log, fileUnverified) != 1 || !strings.Contains(log, wanted) {
 				t.Errorf("want one line with %s; log:\n%s", wanted, log)
 			}
@@ -174,7 +174,7 @@
 }
 
 // A program that starts, or a command that reads once, waits for a process that has a file without a checksum open for writing,
-// and then fails, or reads the whole file if the process is done. With a checksum it is not concerned.
+// and then fails, or reads the complete file if the process is done. With a checksum it is not concerned.
 func TestStartWhileAFileIsWritten(t *testing.T) {
 	f := newFixture(t)
 	whole := clusterText("", 1, 2, 3, 5)
--- a/internal/files/openforwriting.go
+++ b/internal/files/openforwriting.go
@@ -10,8 +10,9 @@
 )
 
 // openForWriting reports whether a process has a regular file open for writing, by asking for a read lease (fcntl(2)), which
-// the kernel refuses then. It reports true if the file can't be opened, and false if the system does not tell: a lease needs the file's owner or CAP_LEASE, and a file
-// system that has leases. The lease is given back at once; a process that opens the file meanwhile waits for that.
+// the kernel refuses then. It reports true if the file can't be opened, and false if the system does not tell: a lease needs
+// the file's owner or CAP_LEASE, and a file system that has leases. The lease is given back at once; a process that opens the
+// file meanwhile waits for that.
 //
 // If a file is not open for writing, the notifications of all earlier writes are in the queue already, since the kernel queues
 // them before it closes the file.
--- a/internal/files/protection.go
+++ b/internal/files/protection.go
@@ -7,10 +7,10 @@
 	"yokestall/internal/config"
 )
 
-// Protection says by what a file is known to be whole.
+// Protection says by what a file is known to be complete.
 type Protection struct {
 	Path     string
-	Checksum bool // it has a checksum; otherwise only a running program that sees it renamed into place knows it to be whole
+	Checksum bool // it has a checksum; otherwise only a running program that sees it renamed into place knows it to be complete
 }
 
 // maxNamedFiles is the largest number of files that ProtectionLine names.
@@ -48,13 +48,13 @@
 		}
 	}
 	if len(without) == 0 {
-		return fmt.Sprintf("%s: known to be whole by checksum, with all files that it names", list[0].Path)
+		return fmt.Sprintf("%s: known to be complete by checksum, with all files that it names", list[0].Path)
 	}
 	named := strings.Join(without[:min(len(without), maxNamedFiles)], ", ")
 	if more := len(without) - maxNamedFiles; more > 0 {
 		named += fmt.Sprintf(" and %d more", more)
 	}
 	return fmt.Sprintf("%s: %d of %d files without a checksum: %s; a running program takes such a file if it sees it renamed "+
-		"into place or a link to it swapped, and nothing else tells a part of it from the whole; `%s FILE` adds a checksum",
+		"into place or a link to it swapped; nothing else tells a part of it from the complete file; `%s FILE` adds a checksum",
 		list[0].Path, len(without), len(list), named, SealCommand)
 }
--- a/internal/files/seal.go
+++ b/internal/files/seal.go
@@ -14,9 +14,10 @@
 	"yokestall/internal/xds/xdsfile"
 )
 
-// Seal gives a configuration file a checksum of its present content, so that it is known to be whole wherever it is read. A file
-// in TOML or YAML gets it in its first line; one in JSON or binary form in the file beside it. The file is replaced by a rename.
-// Where its folder does not allow that, it is written in place, which readers recognize by the checksum until it is whole.
+// Seal gives a configuration file a checksum of its present content, so that it is known to be complete wherever it is read. A
+// file in TOML or YAML gets it in its first line; one in JSON or binary form in the file beside it. The file is replaced by a
+// rename.
+// Where its folder does not allow that, it is written in place, which readers recognize by the checksum until it is complete.
 //
 // Seal changes nothing and returns an error if the file is invalid, or if a process has it open for writing.
 func Seal(path string) error {
@@ -69,7 +70,7 @@
 	next := filepath.Join(filepath.Dir(path), "."+filepath.Base(path)+".next") // no reader takes a name that begins with a dot
 	err = writeSynced(next, text, info.Mode().Perm())
 	if err == nil {
-		keepOwner(next, info)
+		copyOwner(next, info)
 		err = os.Rename(next, path)
 	}
 	if err == nil {
@@ -95,8 +96,8 @@
 	return errors.Join(err, f.Chmod(mode), f.Sync(), f.Close())
 }
 
-// keepOwner gives a file the owner of another one, as far as the process may.
-func keepOwner(path string, like fs.FileInfo) {
+// copyOwner gives a file the owner of another one, as far as the process may.
+func copyOwner(path string, like fs.FileInfo) {
 	if st, ok := like.Sys().(*syscall.Stat_t); ok {
 		os.Chown(path, int(st.Uid), int(st.Gid)) // the file is readable to the same users in most cases even if this fails
 	}
--- a/internal/files/watcher.go
+++ b/internal/files/watcher.go
@@ -19,8 +19,8 @@
 // filesRejected is the log event for files that were rejected.
 const filesRejected = "configuration files rejected, keeping the last good version"
 
-// fileUnverified is the log event for a file that is valid but not known to be whole.
-const fileUnverified = "configuration file not known to be whole, keeping the last good version"
+// fileUnverified is the log event for a file that is valid but not known to be complete.
+const fileUnverified = "configuration file not known to be complete, keeping the last good version"
 
 // Watcher follows the files of a configuration. Create it with Open. It must be used by one goroutine at a time.
 type Watcher struct {
@@ -44,7 +44,7 @@
 type Status struct {
 	Version         uint64 // number of the version in force
 	Rejected        bool   // the files are not those of the version in force, since they are rejected
-	UnverifiedFiles int    // number of files that are valid, but rejected as not known to be whole
+	UnverifiedFiles int    // number of files that are valid, but rejected as not known to be complete
 }
 
 // Status returns the present status. It may be called on any goroutine.
@@ -149,7 +149,7 @@
 }
 
 // poll returns the new version if there is one and it is accepted, else nil. If no file has changed since the last scan, no
-// file is read and the verdict stays, unless a file is not known to be whole, which may come to be known. byTimer is false for
+// file is read and the verdict stays, unless a file is not known to be complete, which may come to be known. byTimer is false for
 // a poll after a notification. Such a poll does not log a rejection, since the notification may come while a file is being
 // written.
 func (w *Watcher) poll(byTimer bool) *Configuration {
@@ -253,7 +253,7 @@
 	}
 }
 
-// logUnverified logs which files are not known to be whole.
+// logUnverified logs which files are not known to be complete.
 func (w *Watcher) logUnverified(list []UnverifiedFile) {
 	for _, f := range list {
 		if w.isNewCause(f.Path + ": " + f.Reason) {
