Files: a change of the program's attributes, or a file renamed as it was, hides no write

Cause: two cases in which a part could count as placed in one step. After a swapped link the program's file was taken for a new reference at each folder, so that a chmod of it made a file written in between older than its reference. And a file that was renamed with the content in force had no stamp noted, so that a later write by a hard link that goes had none to differ from.

Change: the setting is a reference by its file's path as given, a reference without a notification counts only while its target was not seen written, and a version in force notes the stamps of its files.

A variable shared with a timer in TestStartWhileAFileIsWritten was a race of the test.

--- a/internal/files/harness_test.go
+++ b/internal/files/harness_test.go
@@ -51,6 +51,7 @@
 	dir      string // folder of the cluster files
 	logs     *testutil.Logs
 	versions chan *Configuration
+	poll     func()        // polls, for tests that poll by themselves
 	polled   chan struct{} // receives a value after each poll by the timer, if the test waits for it
 }
 
--- a/internal/files/integrity.go
+++ b/internal/files/integrity.go
@@ -81,6 +81,7 @@
 		if err != nil {
 			continue // the next scan finds the same error
 		}
+		markSeen(r.placements.of(to.file), r.records[f.name].stamp)
 		for _, ref := range to.references {
 			a.references[ref.referenceKey] = true
 		}
@@ -92,8 +93,8 @@
 func (r *reader) resolve(paths *resolver, f part) (resolution, error) {
 	to, err := paths.resolve(f.name)
 	if program := r.records[r.path]; f.setting != "" && program != nil && err == nil {
-		key := referenceKey{r.programFile(paths), f.setting}
-		to.references = append(to.references, reference{key, program.stamp.changed})
+		key := referenceKey{r.path, f.setting}
+		to.references = append(to.references, reference{key, r.programFile(paths), program.stamp.changed})
 	}
 	return to, err
 }
@@ -154,15 +155,20 @@
 	case seen.links > 1:
 		return reasonHardLinks
 	}
-	if entry.seen == (stamp{}) {
-		entry.seen = seen
-	}
+	markSeen(entry, seen)
 	if entry.seen != seen { // written without a notification, for example through a memory map
 		return reasonWritten
 	}
 	return ""
 }
 
+// markSeen records the first stamp that is seen of a file after it was renamed. entry may be nil.
+func markSeen(entry *placement, seen stamp) {
+	if entry != nil && entry.seen == (stamp{}) {
+		entry.seen = seen
+	}
+}
+
 // newlyReferred reports whether a path leads to its file by a reference that the version in force did not have, and the file was
 // not changed after that reference. Both times are those of the machine's clock; where the folders of both were watched, the
 // order of the notifications counts too, which a stepped clock does not change.
@@ -171,8 +177,8 @@
 		if r.accepted.references[ref.referenceKey] || ref.changed < seen.changed {
 			continue
 		}
-		referrer := r.placements.of(ref.path)
-		if referrer == nil || entry == nil || entry.written < referrer.latest() {
+		referrer := r.placements.of(ref.file)
+		if entry == nil || entry.written == 0 || referrer != nil && entry.written < referrer.latest() {
 			return true
 		}
 	}
--- a/internal/files/resolution.go
+++ b/internal/files/resolution.go
@@ -20,12 +20,13 @@
 // reference is a symbolic link that a path leads through, or the setting of the program's file that names the path.
 type reference struct {
 	referenceKey
-	changed int64 // ctime of the link or of the program's file, in Unix nanoseconds
+	file    string // path of the link or of the program's file, without symbolic links
+	changed int64  // ctime of the link or of the program's file, in Unix nanoseconds
 }
 
 // referenceKey identifies a reference.
 type referenceKey struct {
-	path   string // path of the link or of the program's file, without symbolic links
+	path   string // path of the link without symbolic links, or of the program's file as given
 	target string // what the link or the setting names
 }
 
@@ -103,7 +104,7 @@
 		return reference{}, false, nil
 	}
 	target, err := os.Readlink(path)
-	return reference{referenceKey{path, target}, st.Ctim.Nano()}, true, err
+	return reference{referenceKey{path, target}, path, st.Ctim.Nano()}, true, err
 }
 
 // ignoringEINTR calls a system call until it is not interrupted by a signal.
