--- a/internal/app/partialfiles_test.go
+++ b/internal/app/partialfiles_test.go
@@ -100,7 +100,7 @@
 type partialRig struct {
 	*testApp
 	t       *testing.T
-	random  *rand.Rand
+	random  *rand.Rand // of the writers, of which one writes at a time
 	program string            // path of the program's file
 	cluster string            // path of the cluster's file
 	linked  bool              // both are reached by the symbolic link current, to a folder of the version
@@ -348,12 +348,13 @@
 	for range 1 + random.IntN(2) {
 		way, cut := partialWays[random.IntN(len(partialWays))], drawCut(random, text)
 		what := fmt.Sprintf("%s, %d of %d bytes of %s", way.name, cut, len(text), filepath.Base(path))
+		hold := time.Duration(random.Int64N(int64(maxPartialHold)))
 		all := cut == len(text) || way.name == writtenOver && r.completes(path, text, cut)
 		if all {
 			formers = []fileVersion{old, want}
 		}
 		wait := r.write(func() { way.write(r, path, text[:cut]) })
-		r.watchAnswers(what, time.Duration(random.Int64N(int64(maxPartialHold))), formers...)
+		r.watchAnswers(what, hold, formers...)
 		wait()
 		r.startInTheMiddle(what, path, old, next)
 		r.watchAnswers(what, 4*poll, formers...)
