--- a/internal/app/partialfiles_test.go
+++ b/internal/app/partialfiles_test.go
@@ -100,7 +100,7 @@
 type partialRig struct {
 	*testApp
 	t       *testing.T
-	random  *rand.Rand // of the writers, of which one writes at a time
+	random  *rand.Rand        // of the writers, of which one writes at a time
 	program string            // path of the program's file
 	cluster string            // path of the cluster's file
 	linked  bool              // both are reached by the symbolic link current, to a folder of the version
