seal: a file with an earlier checksum is not sealed while a process writes it

Cause: Seal read as those do who trust a matching checksum, and so did not look for a writer where the file has a checksum line. After an edit in place that is the checksum of the version before, so that a part could be sealed as complete.

Change: Seal looks for a writer in any case, as its comment says.

Evidence: TestSealWaitsForTheWriter fails on the code before ("error <nil>") and passes now; the tests of the rule and of seal pass under the race detector.

--- a/internal/files/integrity_test.go
+++ b/internal/files/integrity_test.go
@@ -240,6 +240,23 @@
 	}
 }
 
+// Seal does not seal what its writer has not ended, also if an earlier version's checksum stands in the file.
+func TestSealWaitsForTheWriter(t *testing.T) {
+	f := newFixture(t)
+	f.writeSealed(f.roomsFile(), clusterText("", 1, 2, 3, 4))
+	writer, err := os.OpenFile(f.roomsFile(), os.O_WRONLY|os.O_APPEND, 0)
+	must(t, err)
+	defer writer.Close()
+	before, err := os.ReadFile(f.roomsFile())
+	must(t, err)
+	if err := Seal(f.roomsFile()); err == nil || !strings.Contains(err.Error(), reasonOpen) {
+		t.Errorf("Seal of a file that is open for writing: error %v, want that", err)
+	}
+	if after, err := os.ReadFile(f.roomsFile()); err != nil || string(after) != string(before) {
+		t.Errorf("the file is %q, error %v; want it as it was", after, err)
+	}
+}
+
 // A start and the commands that read once take no part of a file with a checksum, at whatever byte its writer stopped.
 func TestStartTakesNoPart(t *testing.T) {
 	f := newFixture(t)
--- a/internal/files/seal.go
+++ b/internal/files/seal.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if openForWriting(to.file) { // ReadAtRest does not look where the file has a checksum, which is that of an earlier version
+		return &UnverifiedError{[]UnverifiedFile{{path, reasonOpen}}}
+	}
 	if ext := filepath.Ext(path); ext == ".json" || ext == ".pb" {
 		if err := checkAlone(path, text); err != nil {
 			return err
