serve: what a program follows ends after its last answer, not with the signal

What callers saw: after SIGTERM a server that a file or a control plane drains or takes away got new requests until the last slow client had written, and requests were answered 502 when that server ended. Metrics could not be read meanwhile.

Cause: the watcher of the files, the client of the control planes, the keys and the metrics took the context that the signal ends, while listeners and the external processor serve what they have for `drain` or the longest deadline.

Requests that outlast the drain are aborted before the tasks end. Since files are now followed meanwhile: no listener opens once the program ends, and a request whose deadline is later than the listener's end is rejected, also when a version has made deadlines longer.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -29,8 +29,9 @@
 	keyLog *keystore.Log        // nil: idempotency keys are not durable
 	dedup  *replay.Deduplicator // nil: requests with a key are not deduplicated
 
-	mu    sync.Mutex            // serializes changes of state
-	state atomic.Pointer[state] // never nil; stored with mu locked
+	mu      sync.Mutex            // serializes changes of state, and guards aborted
+	state   atomic.Pointer[state] // never nil; stored with mu locked
+	aborted bool                  // AbortRequests was called
 
 	// background counts the goroutines of the app and of its clusters, including clusters that are no longer in state.
 	background sync.WaitGroup
@@ -100,11 +101,19 @@
 	return a.dedup.AttachLog(a.keyLog, known)
 }
 
-// Close answers the requests in flight at once, ends all clusters and waits for the goroutines of the App.
-func (a *App) Close() {
+// AbortRequests answers the requests in flight, and all later ones, at once. No attempt is sent to an endpoint after it.
+func (a *App) AbortRequests() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aborted = true
 	for _, c := range a.state.Load().clusters {
 		c.abortRequests()
 	}
+}
+
+// Close aborts the requests as AbortRequests does, ends all clusters and waits for the goroutines of the App.
+func (a *App) Close() {
+	a.AbortRequests()
 	a.stop()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"yokestall/internal/config"
 )
@@ -17,8 +18,9 @@
 	failed     chan error     // has capacity 1 and holds the first failure until it is read
 	background sync.WaitGroup // counts the goroutines of acceptors and servers
 
-	mu   sync.Mutex                 // guards open
-	open map[string]*activeListener // keyed by config.Listener.Address
+	mu     sync.Mutex                 // guards open and closed
+	open   map[string]*activeListener // keyed by config.Listener.Address
+	closed bool                       // Close was called, so that no listener may be opened
 }
 
 // activeListener is an open listener and the server that serves it.
@@ -51,10 +53,14 @@
 
 // Apply opens the wanted listeners that are not open, restarts the server of those whose settings changed, and closes the
 // listeners that are no longer wanted. A server that ends answers its requests in flight first. If a listener can't be
-// opened, the error names the listener and nothing has changed.
+// opened, the error names the listener and nothing has changed. After Close, Apply does nothing: a version that comes
+// while the program ends applies to the requests that are left, and opens no listener.
 func (ls *Listeners) Apply(wanted []config.Listener) error {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
+	if ls.closed {
+		return nil
+	}
 	sockets, err := ls.openSockets(wanted)
 	if err != nil {
 		return err
@@ -130,9 +136,21 @@
 	}
 }
 
+// DrainTimeout returns how long Close waits at most for the requests of the open listeners.
+func (ls *Listeners) DrainTimeout() time.Duration {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	timeout := time.Duration(0)
+	for _, l := range ls.open {
+		timeout = max(timeout, ls.app.drainTimeout(&l.settings))
+	}
+	return timeout
+}
+
 // Close closes all listeners, and returns once their requests in flight are answered.
 func (ls *Listeners) Close() {
 	ls.mu.Lock()
+	ls.closed = true
 	ls.closeMatching(func(string) bool { return true })
 	ls.mu.Unlock()
 	ls.background.Wait()
--- a/internal/app/managedcluster.go
+++ b/internal/app/managedcluster.go
@@ -52,12 +52,12 @@
 	snapshots *snapshots             // cached snapshots of engines that have ended; nil: none
 }
 
-// newManagedCluster returns an idle cluster with the settings of a state.
+// newManagedCluster returns an idle cluster with the settings of a state. The caller holds a.mu.
 func (a *App) newManagedCluster(name string, s *state, transport cluster.Transport) (*managedCluster, error) {
 	r := &managedCluster{
 		app: a, name: name, settings: s.settings, classes: s.program.Classes, tenants: s.tenants,
 		upstream: s.program.Upstream, transport: transport, streams: newStreams(a.clock),
-		tiers: map[priority.Key]*tier{},
+		tiers: map[priority.Key]*tier{}, aborted: a.aborted,
 	}
 	if t := transport.TLS; t != nil {
 		if a.Keys == nil {
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -150,13 +150,12 @@
 // drain waits until the requests in flight have ended, but no longer than the longest deadline of a class or the
 // listener's drain timeout, whichever is longer, plus connectionDrainMargin.
 func (s *listenerServer) drain() {
-	deadline := s.app.state.Load().longestDeadline()
-	timeout := max(deadline, s.settings.Drain) + connectionDrainMargin
+	timeout := s.app.drainTimeout(&s.settings)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	// Requests that arrive before this time still have their whole deadline. Later requests are rejected, since the end of
-	// the drain would close their connections before their deadline.
-	defer time.AfterFunc(timeout-deadline-finalAnswerMargin, s.h1.RejectNewRequests).Stop()
+	// A request whose deadline is later than this is rejected, since the end of the drain would close its connection before
+	// its answer. The classes' deadlines may change meanwhile.
+	s.h1.RejectDeadlinesAfter(s.app.clock.Now() + timeout - finalAnswerMargin)
 	// Connections without a request are closed shortly before the end, since a request that arrived on them at the end
 	// would get no answer.
 	defer time.AfterFunc(timeout-finalAnswerMargin, s.h1.CloseIdleConnections).Stop()
@@ -174,6 +173,11 @@
 	s.http.Shutdown(ctx)
 }
 
+// drainTimeout returns the longest time that the drain of a listener with these settings takes.
+func (a *App) drainTimeout(settings *config.Listener) time.Duration {
+	return max(a.state.Load().longestDeadline(), settings.Drain) + connectionDrainMargin
+}
+
 // longestDeadline returns the longest deadline of all classes.
 func (s *state) longestDeadline() time.Duration {
 	longest := time.Duration(0)
--- a/internal/cli/metrics.go
+++ b/internal/cli/metrics.go
@@ -39,8 +39,8 @@
 	return registry
 }
 
-// startMetrics starts to serve the metrics at /metrics until ctx ends, if an address is configured.
-func (s *server) startMetrics(ctx context.Context, watcher *files.Watcher) error {
+// startMetrics starts the task that serves the metrics at /metrics, if an address is configured.
+func (s *server) startMetrics(watcher *files.Watcher) error {
 	address := s.first.Program.MetricsAddress
 	if address == "" {
 		return nil
@@ -57,6 +57,6 @@
 			s.log.Error("serving metrics failed", "addr", address, "err", err)
 		}
 	})
-	context.AfterFunc(ctx, func() { h.Close() })
+	context.AfterFunc(s.tasksCtx, func() { h.Close() })
 	return nil
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -54,28 +54,13 @@
 	if err != nil {
 		return err
 	}
-	defer s.app.Close()
-	ctx, stop := context.WithCancel(ctx)
-	defer s.tasks.Wait()
-	defer stop()
-	if s.member != nil {
-		s.tasks.Go(func() { s.member.run(ctx, log) })
-	}
-	s.listeners = s.app.NewListeners()
-	if err := s.listeners.Apply(first.Program.Listeners); err != nil {
-		return err
-	}
-	defer s.listeners.Close()
-	processorEnded, err := s.startProcessor(ctx)
-	if err != nil {
-		return err
-	}
-	if err := s.startMetrics(ctx, watcher); err != nil {
+	defer s.shutDown()
+	if err := s.start(watcher); err != nil {
 		return err
 	}
 	if options.ready != nil {
 		options.ready(s.listeners.Addr(first.Program.Listener.Name))
 	}
-	s.followConfiguration(ctx, watcher)
-	return s.wait(ctx, processorEnded)
+	s.followConfiguration(watcher)
+	return s.wait(ctx)
 }
--- a/internal/cli/server.go
+++ b/internal/cli/server.go
@@ -20,7 +20,7 @@
 // restartNeeded is the log event for a changed setting that takes effect only when the program is restarted.
 const restartNeeded = "changed settings need a restart"
 
-// server is the running program: an app, and the goroutines that keep the app's configuration up to date.
+// server is the running program: an app, its listeners, and the tasks that requests depend on. Its end is in shutdown.go.
 type server struct {
 	path      string               // path of the configuration file
 	first     *files.Configuration // the configuration with which the program was started
@@ -30,7 +30,25 @@
 	member    *fleetMember // nil: the configuration has no section [fleet.agree]
 	listeners *app.Listeners
 	log       *slog.Logger
-	tasks     sync.WaitGroup // goroutines that end with the program's context
+
+	processor      sync.WaitGroup // the goroutine that serves the external processor
+	processorEnded chan error     // receives the result of the external processor; has capacity 1
+	processorCtx   context.Context
+	stopProcessor  context.CancelFunc // ends processorCtx
+
+	// tasks counts the goroutines of the tasks. A request depends on them until its last attempt: it may go only to
+	// endpoints that the latest version allows, and only under a valid lease. So the tasks end when the listeners and the
+	// external processor have returned, and not when the program is told to end. The tasks are:
+	//
+	//   - the watcher of the configuration files, of the files in xDS form and of the tenants in them
+	//   - the client of the control planes
+	//   - the reload of the TLS keys, which handshakes with clients and endpoints use
+	//   - the server of the metrics, so that a drain can be observed
+	//
+	// The health of endpoints, their slow start and the engines belong to the app, which ends after the tasks.
+	tasks    sync.WaitGroup
+	tasksCtx context.Context
+	endTasks context.CancelFunc // ends tasksCtx
 }
 
 // newServer returns a server with its app, and with its fleet member if the configuration has one. The app does not
@@ -38,7 +56,7 @@
 func newServer(
 	path string, first *files.Configuration, memory memoryLimit, log *slog.Logger, options serveOptions,
 ) (*server, error) {
-	s := &server{path: path, first: first, memory: memory, log: log}
+	s := &server{path: path, first: first, memory: memory, log: log, processorEnded: make(chan error, 1)}
 	o := app.Options{Seed: rand.Uint64(), Log: log, Path: path}
 	var err error
 	if s.keys, err = openKeys(first.Program, path, log); err != nil {
@@ -53,41 +71,57 @@
 	if err != nil {
 		return nil, err
 	}
+	s.listeners = s.app.NewListeners()
+	s.processorCtx, s.stopProcessor = context.WithCancel(context.Background())
+	s.tasksCtx, s.endTasks = context.WithCancel(context.Background())
 	return s, nil
 }
 
-// startProcessor starts to serve the external processor, if one is configured. When the processor ends, its error is sent
-// to the channel ended.
-func (s *server) startProcessor(ctx context.Context) (ended <-chan error, err error) {
-	result := make(chan error, 1)
+// start starts the fleet member, and opens the listeners, the external processor and the metrics. After an error, shutDown
+// ends what was started.
+func (s *server) start(watcher *files.Watcher) error {
+	if s.member != nil {
+		s.tasks.Go(func() { s.member.run(s.processorCtx, s.log) })
+	}
+	if err := s.listeners.Apply(s.first.Program.Listeners); err != nil {
+		return err
+	}
+	if err := s.startProcessor(); err != nil {
+		return err
+	}
+	return s.startMetrics(watcher)
+}
+
+// startProcessor starts to serve the external processor, if one is configured.
+func (s *server) startProcessor() error {
 	settings := s.first.Program.ExtProc
 	if settings.Address == "" {
-		return result, nil
+		return nil
 	}
 	l, err := net.Listen("tcp", settings.Address)
 	if err != nil {
-		return nil, fmt.Errorf("extproc: %w", err)
+		return fmt.Errorf("extproc: %w", err)
 	}
-	s.tasks.Go(func() {
-		result <- s.app.ServeProcessor(ctx, l, s.app.NewProcessor(settings), settings)
+	s.processor.Go(func() {
+		s.processorEnded <- s.app.ServeProcessor(s.processorCtx, l, s.app.NewProcessor(settings), settings)
 	})
-	return result, nil
+	return nil
 }
 
-// followConfiguration starts the goroutines that apply changes of the configuration files, the keys and the control
-// plane's resources.
-func (s *server) followConfiguration(ctx context.Context, watcher *files.Watcher) {
+// followConfiguration starts the tasks that apply changes of the configuration files, the keys and the control plane's
+// resources.
+func (s *server) followConfiguration(watcher *files.Watcher) {
 	source := app.NewSource(s.app, s.first)
 	if c := app.XDSConfig(s.first.Program, s.path); c != nil {
 		client := xds.New(*c, s.log)
 		client.Restore(source.Deliver)
-		s.tasks.Go(func() { client.Run(ctx, source.Deliver) })
+		s.tasks.Go(func() { client.Run(s.tasksCtx, source.Deliver) })
 	}
 	s.tasks.Go(func() {
-		watcher.Run(ctx, func(next *files.Configuration) { s.applyFiles(source, next) })
+		watcher.Run(s.tasksCtx, func(next *files.Configuration) { s.applyFiles(source, next) })
 	})
 	if s.keys != nil {
-		s.tasks.Go(func() { s.keys.Run(ctx, s.first.Program.Keys.Poll) })
+		s.tasks.Go(func() { s.keys.Run(s.tasksCtx, s.first.Program.Keys.Poll) })
 	}
 }
 
@@ -133,16 +167,13 @@
 
 // wait blocks until ctx ends, or until a listener or the external processor fails. It returns the error of
 // the listener or processor, and nil at the end of ctx.
-func (s *server) wait(ctx context.Context, processorEnded <-chan error) error {
+func (s *server) wait(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case err := <-s.listeners.Failed():
 		return err
-	case err := <-processorEnded:
-		if ctx.Err() == nil {
-			return fmt.Errorf("extproc: %w", err)
-		}
-		return nil
+	case err := <-s.processorEnded:
+		return fmt.Errorf("extproc: %w", err)
 	}
 }
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -171,7 +171,7 @@
 	case !open:
 		e.conn.endsBecause(endPlaceLost)
 		panic(http.ErrAbortHandler) // the client sends the request again elsewhere
-	case overflow, e.server.rejecting.Load():
+	case overflow, e.server.endsBefore(e.request.Deadline):
 		e.w.Header().Set("Connection", "close")
 		rejected := engine.Answer{Verdict: engine.Rejected, RetryAfter: e.destination.MaxRetryAfter}
 		writeAnswer(e.w, e.r.Method == http.MethodHead, rejected)
--- a/internal/downstream/h1server/lifecycle.go
+++ b/internal/downstream/h1server/lifecycle.go
@@ -21,8 +21,15 @@
 // CloseAfterResponses makes each response close its connection from now on, so that clients move to other nodes.
 func (s *Server) CloseAfterResponses() { s.closingAfterResponses.Store(true) }
 
-// RejectNewRequests rejects all requests that arrive from now on, because the shutdown leaves no time to serve them.
-func (s *Server) RejectNewRequests() { s.rejecting.Store(true) }
+// RejectDeadlinesAfter rejects requests that arrive from now on and whose deadline is after latest, on Options.Clock,
+// because the shutdown leaves no time to serve them.
+func (s *Server) RejectDeadlinesAfter(latest time.Duration) { s.latestDeadline.Store(int64(latest)) }
+
+// endsBefore reports whether the server's shutdown ends before a deadline.
+func (s *Server) endsBefore(deadline time.Duration) bool {
+	latest := s.latestDeadline.Load()
+	return latest != 0 && int64(deadline) > latest
+}
 
 // EnterLameDuck moves clients to other nodes until ExitLameDuck is called or ctx ends: health checks fail, each
 // response closes its connection, and idle connections are closed after adminstate.LameDuckIdleDelay. Requests are
--- a/internal/downstream/h1server/server.go
+++ b/internal/downstream/h1server/server.go
@@ -78,8 +78,8 @@
 	ready                 atomic.Bool
 	failingHealthChecks   atomic.Bool
 	closingAfterResponses atomic.Bool
-	rejecting             atomic.Bool
 	lameDuck              atomic.Bool
+	latestDeadline        atomic.Int64 // on Options.Clock, in nanoseconds, as RejectDeadlinesAfter has set it; 0: not set
 
 	requestCount  atomic.Int64
 	lastRequestAt atomic.Int64 // Unix nanoseconds; 0 before the first request
