fleet: a node that ends keeps its membership and lease until its last answer

What callers saw: a node of a fleet refused requests after SIGTERM that it could serve ("the node's lease is over"), though no server and no voter had failed, and a version that drained a server meanwhile did not reach it.

Cause: the member of the fleet ended with the signal, so that its lease ran out within 1.5 s while the listeners served on. It is now one of the tasks that end after the last answer. Since calls of other nodes come until then: Serve returns only when its calls have ended (gRPC's Stop does not wait for them by itself), so that none writes to the store after it was closed.

--- a/internal/cli/server.go
+++ b/internal/cli/server.go
@@ -42,6 +42,7 @@
 	//
 	//   - the watcher of the configuration files, of the files in xDS form and of the tenants in them
 	//   - the client of the control planes
+	//   - the member of the fleet, with its lease, its RPC server and its voter
 	//   - the reload of the TLS keys, which handshakes with clients and endpoints use
 	//   - the server of the metrics, so that a drain can be observed
 	//
@@ -81,7 +82,7 @@
 // ends what was started.
 func (s *server) start(watcher *files.Watcher) error {
 	if s.member != nil {
-		s.tasks.Go(func() { s.member.run(s.processorCtx, s.log) })
+		s.tasks.Go(func() { s.member.run(s.tasksCtx, s.log) })
 	}
 	if err := s.listeners.Apply(s.first.Program.Listeners); err != nil {
 		return err
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -29,11 +29,12 @@
 	connectTimeout    = 5 * time.Second            // timeout of a new connection's handshake
 )
 
-// Serve serves other nodes and operators' clients on a listener until ctx ends.
+// Serve serves other nodes and operators' clients on a listener until ctx ends. It returns once all calls have ended, which may
+// write to the store until then.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	options := []grpc.ServerOption{
 		grpc.MaxConcurrentStreams(maxStreams), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
-		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(connectTimeout),
+		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(connectTimeout), grpc.WaitForHandlers(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime: keepaliveInterval / 2, PermitWithoutStream: true,
 		}),
