HTTP/2: a connection with a request that came with its first bytes is not idle

What callers saw: the first request on a new HTTP/2 connection got no answer ("server sent GOAWAY and closed the connection; LastStreamID=1") when its listener ended, or when another client wanted a place, while its body was still read or its handler was held up. The log: "connection ended under a request", reason idle, request reading.

Cause: HTTP/2's server reports each new connection as idle before it reads the first frame. The hook took that for the end of a request over HTTP/1.1 and moved the connection to the idle ones. Where the first request had come in one piece with the preface, it lay in the buffer of TLS, no further bytes told the table, and the connection counted as idle until the request was whole.

Change: connections over HTTP/2 are known by their type in the hook, from the first call on, and their place in the table is left as it is; an opened stream counts as handled. The preface counts as no request.

--- a/internal/downstream/h1server/clientconn.go
+++ b/internal/downstream/h1server/clientconn.go
@@ -30,7 +30,6 @@
 	requestLengths int
 
 	entry *connlimit.Conn // the connection's entry in the table; guarded by conns.mu
-	http2 bool            // requests come over HTTP/2, known from the first one; guarded by conns.mu
 
 	bodyUnread atomic.Bool // the open request has a body that was not read to its end
 	lingers    atomic.Bool // the last request was answered while bodyUnread was set, so that Close lets the connection linger
@@ -126,11 +125,10 @@
 // upload. open is false if the connection was closed before: the client sends the request again elsewhere. overflow is
 // true if the connection exceeds the limit on active connections, so that its client only gets a response with
 // Retry-After.
-func (c *clientConn) beginRequest(http2 bool) (open, overflow bool) {
+func (c *clientConn) beginRequest() (open, overflow bool) {
 	cs := c.conns
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	c.http2 = http2
 	c.framing.startRequest()
 	cs.table.RequestComplete(cs.now(), c.entry)
 	cs.notifyChanged()
--- a/internal/downstream/h1server/clientconns.go
+++ b/internal/downstream/h1server/clientconns.go
@@ -193,13 +193,11 @@
 	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	switch {
-	case c.http2 && state == http.StateIdle && !c.entry.Removed():
-		cs.idleHTTP2[c] = struct{}{}
-		cs.notifyChanged()
+	if _, ok := nc.(http2Conn); ok {
+		cs.onHTTP2StateChange(c, state)
 		return
-	case state == http.StateActive:
-		delete(cs.idleHTTP2, c)
+	}
+	if state == http.StateActive {
 		return
 	}
 	c.answerFinished()
@@ -213,6 +211,25 @@
 	cs.notifyChanged()
 }
 
+// http2Conn is implemented by the connections for which HTTP/2's server calls the ConnState hook.
+type http2Conn interface{ HTTP2() }
+
+// onHTTP2StateChange records whether a connection over HTTP/2 has open streams. It leaves the table as it is: a connection is
+// idle before its first stream too, while the stream's request may have been read with the first bytes of the connection. The
+// caller holds mu.
+func (cs *clientConns) onHTTP2StateChange(c *clientConn, state http.ConnState) {
+	if state == http.StateActive {
+		c.handlerBegins() // the handler of the first stream begins some time after the hook
+		delete(cs.idleHTTP2, c)
+		return
+	}
+	c.answerFinished()
+	if !c.entry.Removed() {
+		cs.idleHTTP2[c] = struct{}{}
+		cs.notifyChanged()
+	}
+}
+
 // runLameDuck closes idle connections as lame duck mode requires, until ctx ends.
 func (cs *clientConns) runLameDuck(ctx context.Context) {
 	ticker := time.NewTicker(idleCheckInterval)
--- a/internal/downstream/h1server/clientconns_test.go
+++ b/internal/downstream/h1server/clientconns_test.go
@@ -34,7 +34,7 @@
 	if n, err := nc.Read(make([]byte, 10)); n != 0 || err == nil {
 		t.Errorf("Read of a closed connection returned %d bytes and error %v, want 0 bytes and an error", n, err)
 	}
-	if open, _ := c.beginRequest(false); open {
+	if open, _ := c.beginRequest(); open {
 		t.Error("beginRequest of a closed connection returned open, so the request would be served")
 	}
 	nc.Close()
--- a/internal/downstream/h1server/framingscan.go
+++ b/internal/downstream/h1server/framingscan.go
@@ -35,8 +35,11 @@
 // were read before.
 func (s *framingScan) expectHeader() { s.fieldLines, s.inHeader = 0, !s.http2 }
 
-// completeWithoutBody reports whether the header of the request that is being read is complete and announces no body.
-func (s *framingScan) completeWithoutBody() bool { return s.headerComplete && !s.announcesBody }
+// completeWithoutBody reports whether the header of the request that is being read is complete and announces no body. The
+// preface of HTTP/2 is no request.
+func (s *framingScan) completeWithoutBody() bool {
+	return s.headerComplete && !s.announcesBody && !s.http2
+}
 
 // startRequest makes the scan expect the header of the next request.
 func (s *framingScan) startRequest() {
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -167,7 +167,7 @@
 		e.conn.endsBecause(endByClient)
 		panic(http.ErrAbortHandler) // no attempt may begin for a client that has disconnected
 	}
-	switch open, overflow := e.conn.beginRequest(e.r.ProtoMajor == 2); {
+	switch open, overflow := e.conn.beginRequest(); {
 	case !open:
 		e.conn.endsBecause(endPlaceLost)
 		panic(http.ErrAbortHandler) // the client sends the request again elsewhere
--- a/internal/downstream/h2server/guardedconn.go
+++ b/internal/downstream/h2server/guardedconn.go
@@ -33,6 +33,9 @@
 // NetConn returns the connection that g wraps.
 func (g *guardedConn) NetConn() net.Conn { return g.Conn }
 
+// HTTP2 tells the ConnState hook that the connection serves HTTP/2.
+func (g *guardedConn) HTTP2() {}
+
 // Read implements net.Conn. When a flood limit is exceeded, it returns a connection error, for which golang.org/x/net's
 // server sends a GOAWAY (ENHANCE_YOUR_CALM) and closes the connection.
 func (g *guardedConn) Read(p []byte) (int, error) {
