h1server: answers announce the close by the state when they go out; a drain awaits the next request

What callers saw: a request that was at work when SIGTERM came was answered without `Connection: close`, and its connection was closed right behind the answer. A client that wrote its next request at once got none.

Cause, two parts of one promise. limitConnection decided when the request began whether the answer closes its connection. And a drain closed each connection in the moment in which it fell idle, also where the head of the answer had gone out before the drain began, as that of a stream. Lame duck mode and the hand-over to a successor use the same decision.

Change: a ResponseWriter around net/http's decides when the head goes out, for every answer (shutdown, lame duck mode, hot restart; over HTTP/2 it is the GOAWAY). A drain and lame duck mode close a connection once it has been idle for 0.1 s: a request that comes within that is answered, and its answer announces the close.

--- a/cmd/yokestall/ending_test.go
+++ b/cmd/yokestall/ending_test.go
@@ -74,7 +74,7 @@
 	endingWork       = 150 * time.Millisecond // of a server on a request
 	endingServers    = 4
 	endingClients    = 12 // slow clients of an ending
-	endingTraffic    = 4  // other clients
+	endingTraffic    = 8  // other clients, which send one request after the other
 	// laterListener is how long after SIGTERM the program's file names a further listener.
 	laterListener = 100 * time.Millisecond
 )
@@ -150,12 +150,11 @@
 	all     []*endingServer
 	roots   *keymaker.Authority
 
-	mu        sync.Mutex
+	mu        sync.Mutex // guards failures
 	failures  []string
 	served    atomic.Int64
 	refused   atomic.Int64
 	mayRefuse atomic.Bool // requests may be refused, since the changes leave no server for a while
-	stoppedAt time.Time   // when SIGTERM was sent
 }
 
 // endingSource gives the program its configuration.
@@ -349,17 +348,13 @@
 		c := r.newSlowClient(i)
 		clients.Go(c.run)
 	}
-	stopTraffic := r.startTraffic()
-	defer stopTraffic()
+	for range endingTraffic {
+		clients.Go(r.sendQuickly)
+	}
 	changeAt := time.Duration(r.random.IntN(900)-100) * time.Millisecond // from SIGTERM on
 	secondAt := changeAt + time.Duration(100+r.random.IntN(300))*time.Millisecond
 	start := time.Now().Add(slowClientLead)
-	time.AfterFunc(time.Until(start), func() {
-		r.mu.Lock()
-		r.stoppedAt = time.Now()
-		r.mu.Unlock()
-		r.program.Process.Signal(syscall.SIGTERM)
-	})
+	time.AfterFunc(time.Until(start), func() { r.program.Process.Signal(syscall.SIGTERM) })
 	listenerChecked := make(chan struct{})
 	time.AfterFunc(time.Until(start.Add(laterListener)), func() { // while all slow clients write
 		defer close(listenerChecked)
@@ -375,7 +370,6 @@
 		r.source.silence(r)
 	}
 	clients.Wait()
-	stopTraffic()
 	r.checkExit(start)
 	<-listenerChecked
 }
@@ -430,41 +424,6 @@
 	}
 }
 
-// startTraffic starts clients that keep their connections, until the program takes no more requests.
-func (r *endingRun) startTraffic() (stop func()) {
-	var clients sync.WaitGroup
-	stopped := make(chan struct{})
-	transport := &http.Transport{MaxIdleConnsPerHost: endingTraffic}
-	for range endingTraffic {
-		clients.Go(func() {
-			for {
-				resp, err := transport.RoundTrip(r.newRequest("http://" + r.names["PLAIN"] + "/"))
-				if err != nil {
-					r.mu.Lock()
-					ending := !r.stoppedAt.IsZero()
-					r.mu.Unlock()
-					if !ending {
-						r.failf("before the end: %v", err)
-					}
-					return
-				}
-				resp.Body.Close()
-				r.judge("traffic", resp.StatusCode)
-				select {
-				case <-stopped:
-					return
-				case <-time.After(20 * time.Millisecond):
-				}
-			}
-		})
-	}
-	return sync.OnceFunc(func() {
-		close(stopped)
-		clients.Wait()
-		transport.CloseIdleConnections()
-	})
-}
-
 func (r *endingRun) newRequest(url string) *http.Request {
 	request, err := http.NewRequest(http.MethodPost, url, nil)
 	if err != nil {
--- a/cmd/yokestall/endingclients_test.go
+++ b/cmd/yokestall/endingclients_test.go
@@ -24,6 +24,9 @@
 	// slowClientPieces is the number of pieces in which a slow client writes its head or its body.
 	slowClientPieces = 16
 	slowClientWait   = 10 * time.Second // for an answer
+	// quickClientPause is the pause of other clients between two requests. A connection is idle for a while longer before it
+	// is closed.
+	quickClientPause = 5 * time.Millisecond
 )
 
 // slowClient is a client that connects before the program is told to end and writes its request slowly.
@@ -92,17 +95,58 @@
 	return c.sendSlowly(nc)
 }
 
-// sendSlowly sends a request over HTTP/1.1 and returns the status of its answer.
+// sendSlowly sends a request over HTTP/1.1 and returns the status of its answer. Unless the answer announces the close, it sends a
+// further request at once.
 func (c *slowClient) sendSlowly(nc net.Conn) (status int, err error) {
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(slowClientWait))
 	c.writeSlowly(nc)
-	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	in := bufio.NewReader(nc)
+	status, closes, err := readStatus(in)
+	if err != nil || closes {
+		return status, err
+	}
+	io.WriteString(nc, quickRequest)
+	if _, _, err := readStatus(in); err != nil {
+		return 0, fmt.Errorf("behind an answer that does not announce the close: %w", err)
+	}
+	return status, nil
+}
+
+// quickRequest is a request that comes in one piece.
+const quickRequest = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+
+// readStatus reads an answer, and reports whether it announces the close of its connection.
+func readStatus(in *bufio.Reader) (status int, closes bool, err error) {
+	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return 0, err
+		return 0, false, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Close, err
+}
+
+// sendQuickly sends one request after the other over HTTP/1.1, until an answer announces the close of the connection.
+func (r *endingRun) sendQuickly() {
+	nc, err := net.Dial("tcp", r.names["PLAIN"])
+	if err != nil {
+		r.failf("traffic: %v", err)
+		return
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(slowClientWait))
+	in := bufio.NewReader(nc)
+	for closes := false; !closes; {
+		time.Sleep(quickClientPause)
+		io.WriteString(nc, quickRequest)
+		var status int
+		if status, closes, err = readStatus(in); err != nil {
+			r.failf("traffic: no answer: %v", err)
+			return
+		}
+		r.judge("traffic", status)
 	}
-	resp.Body.Close()
-	return resp.StatusCode, nil
 }
 
 // writeSlowly writes a request in pieces. A failure shows when the answer is read.
--- a/internal/downstream/h1server/clientconns.go
+++ b/internal/downstream/h1server/clientconns.go
@@ -20,8 +20,11 @@
 const (
 	// unlimitedIdle is a timeout that no connection reaches.
 	unlimitedIdle = time.Duration(math.MaxInt64)
-	// idleCheckInterval is how often lame duck mode and a drain to the successor look for idle connections to close.
+	// idleCheckInterval is how often lame duck mode and drains look for idle connections to close.
 	idleCheckInterval = 50 * time.Millisecond
+	// drainIdleTimeout is how long a connection stays open in a drain after an answer that did not announce the close, since
+	// its head was sent before. The client's next request may be on its way; its answer announces the close.
+	drainIdleTimeout = 100 * time.Millisecond
 )
 
 // clientConns holds the client connections of one server.
@@ -40,7 +43,6 @@
 	// mu guards the fields below.
 	mu           sync.Mutex
 	table        *connlimit.Table
-	draining     bool
 	lameDuck     adminstate.LameDuckMode
 	stopLameDuck context.CancelFunc // ends runLameDuck; not nil once lame duck mode was entered
 	// idleHTTP2 holds the HTTP/2 connections that have no open stream. The table counts them as busy, because closing
@@ -185,7 +187,7 @@
 }
 
 // onStateChange is the ConnState hook of net/http's server. It records which connections are idle between two requests,
-// and closes those that a drain, lame duck mode or the limits require to be closed.
+// and closes those that the limits require to be closed.
 func (cs *clientConns) onStateChange(nc net.Conn, state http.ConnState) {
 	c := unwrapClientConn(nc)
 	if c == nil || state != http.StateIdle && state != http.StateActive {
@@ -204,9 +206,6 @@
 	c.framing.expectHeader()
 	c.lingers.Store(false) // net/http has read the body to its end
 	cs.table.ResponseSent(cs.now(), c.entry)
-	if cs.draining || cs.lameDuck.ClosesIdle(cs.now()) {
-		cs.closeExpired(0, unlimitedIdle)
-	}
 	cs.closeVictims()
 	cs.notifyChanged()
 }
@@ -237,7 +236,7 @@
 	for {
 		cs.mu.Lock()
 		if cs.lameDuck.ClosesIdle(cs.now()) {
-			cs.closeExpired(0, adminstate.UnreadyPropagationDelay)
+			cs.closeExpired(drainIdleTimeout, adminstate.UnreadyPropagationDelay)
 		}
 		cs.mu.Unlock()
 		select {
@@ -269,16 +268,22 @@
 	}
 }
 
-// drain closes connections as they become idle. It returns when only idle HTTP/2 connections are left or ctx ends.
+// drain closes the connections that have been idle for drainIdleTimeout. It returns when only idle HTTP/2 connections are left or
+// ctx ends. The caller has all other connections closed with their next response.
 func (cs *clientConns) drain(ctx context.Context) {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.draining = true
-	cs.closeExpired(0, unlimitedIdle)
-	for cs.table.Len() > len(cs.idleHTTP2) && ctx.Err() == nil {
+	for {
+		cs.closeExpired(drainIdleTimeout, unlimitedIdle)
+		if cs.table.Len() <= len(cs.idleHTTP2) || ctx.Err() != nil {
+			return
+		}
 		cs.mu.Unlock()
 		select {
 		case <-cs.changed:
+		case <-ticker.C:
 		case <-ctx.Done():
 		}
 		cs.mu.Lock()
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -41,6 +41,7 @@
 // ServeHTTP answers one request. It panics with http.ErrAbortHandler where the client's connection, or its HTTP/2
 // stream, has to end without a complete answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w = closeAnnouncer{w, s}
 	conn := clientConnOf(r)
 	conn.handlerBegins()
 	conn.watchBody(w, r)
@@ -111,12 +112,9 @@
 	return costOf(answer)
 }
 
-// limitConnection decides whether the connection is closed after the answer and sets the deadline for reading the
+// limitConnection has the connection closed after the answer if its framing is ambiguous, and sets the deadline for reading the
 // request's body. It runs before all other steps.
 func (s *Server) limitConnection(w http.ResponseWriter, r *http.Request, conn *clientConn) {
-	if s.closingAfterResponses.Load() || s.lameDuck.Load() {
-		w.Header().Set("Connection", "close") // makes clients connect to other nodes
-	}
 	if r.ContentLength != 0 { // The deadline also bounds what net/http reads after a rejection.
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
 	}
--- a/internal/downstream/h1server/lifecycle.go
+++ b/internal/downstream/h1server/lifecycle.go
@@ -68,7 +68,8 @@
 	s.conns.drainToSuccessor(ctx, idleTimeout)
 }
 
-// Drain closes connections as they become idle. It returns when only idle HTTP/2 connections are left or ctx ends.
+// Drain closes connections once they have been idle for drainIdleTimeout. It returns when only idle HTTP/2 connections are
+// left or ctx ends. CloseAfterResponses has to be called before.
 func (s *Server) Drain(ctx context.Context) { s.conns.drain(ctx) }
 
 // CloseIdleConnections closes the connections on which nothing was received at all, or nothing since the last response.
