Listeners: HTTP/2 clients whose connection begins late are told to move

A connection that was accepted before its listener closed, and on which HTTP/2 began after the others had been told, got no GOAWAY: the listener waited for it until it was idle for 10 s or the drain was over, and its client, not told, could open a stream in the moment of the close. Cause: StartDrain tells the connections that are registered when it is called, and it was called once. It is now called again when only idle HTTP/2 connections are left.

--- a/internal/app/drain_test.go
+++ b/internal/app/drain_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"golang.org/x/net/http2"
 
@@ -115,3 +117,52 @@
 		t.Error("the closed listener still serves requests")
 	}
 }
+
+// Guards against a listener that waits for clients which were not told to move: HTTP/2 began on their connections after the
+// listener had told the others.
+func TestGoAwayOnLateConnections(t *testing.T) {
+	const idleTimeout = 10 * time.Second // after which an idle connection ends by itself
+	b := testutil.NewBackend(t, func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("x")) })
+	listener := config.Listener{HTTP2: 10, Drain: testutil.WaitTimeout}
+	c := newCellWithServers(t, webpeer.Protocol{HTTP2: true}, webpeer.Protocol{}, nil, nil, listener, b.Addr())
+	early, earlyFrames, err := rawpeer.OpenHTTP2(c.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer early.Close()
+	late, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	late.SetDeadline(time.Now().Add(testutil.WaitTimeout))
+	began, ended := time.Now(), make(chan struct{})
+	go func() { defer close(ended); c.listeners.Close() }()
+	readToGoAway(t, earlyFrames) // the listener has told its clients
+	if _, err := io.WriteString(late, http2.ClientPreface); err != nil {
+		t.Fatal(err)
+	}
+	lateFrames := http2.NewFramer(late, late)
+	if err := lateFrames.WriteSettings(); err != nil {
+		t.Fatal(err)
+	}
+	readToGoAway(t, lateFrames)
+	testutil.Wait(t, ended, "the listener to close")
+	if took := time.Since(began); took >= idleTimeout {
+		t.Errorf("the listener took %v to close, want less than the %v after which idle connections end", took, idleTimeout)
+	}
+}
+
+// readToGoAway reads frames up to a GOAWAY.
+func readToGoAway(t *testing.T, f *http2.Framer) {
+	t.Helper()
+	for {
+		frame, err := f.ReadFrame()
+		if err != nil {
+			t.Fatalf("no GOAWAY: %v", err)
+		}
+		if _, ok := frame.(*http2.GoAwayFrame); ok {
+			return
+		}
+	}
+}
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -163,6 +163,7 @@
 	if s.h2 == nil {
 		return
 	}
+	s.h2.StartDrain() // for the connections on which HTTP/2 began after the first call
 	// Idle HTTP/2 connections end by themselves after StartDrain, and Shutdown waits for them. Shutdown is called last,
 	// since after it net/http drops HTTP/1.1 requests that it has read. At this point HTTP/1.1 connections are only left
 	// if the drain timed out.
