Listeners: a drain awaits requests that came under an earlier version's deadlines

What callers saw: a version shortened a class's deadline, the program was told to end, and a request that had come before was cut off without an answer: the drain lasted for the longest deadline of the version in force. Cause: listenerServer.drain took the deadlines of the present version alone. It now also waits for the latest deadline of a request that was admitted.

TestEndingsFollowChanges sends the program a second SIGTERM.

--- a/cmd/yokestall/ending_test.go
+++ b/cmd/yokestall/ending_test.go
@@ -73,8 +73,9 @@
 	endingServerStop = 1200 * time.Millisecond
 	endingWork       = 150 * time.Millisecond // of a server on a request
 	endingServers    = 4
-	endingClients    = 12 // slow clients of an ending
-	endingTraffic    = 8  // other clients, which send one request after the other
+	endingClients    = 12                     // slow clients of an ending
+	endingTraffic    = 8                      // other clients, which send one request after the other
+	secondSignal     = 200 * time.Millisecond // after the first one
 	// laterListener is how long after SIGTERM the program's file names a further listener.
 	laterListener = 100 * time.Millisecond
 )
@@ -354,7 +355,9 @@
 	changeAt := time.Duration(r.random.IntN(900)-100) * time.Millisecond // from SIGTERM on
 	secondAt := changeAt + time.Duration(100+r.random.IntN(300))*time.Millisecond
 	start := time.Now().Add(slowClientLead)
-	time.AfterFunc(time.Until(start), func() { r.program.Process.Signal(syscall.SIGTERM) })
+	for _, at := range []time.Time{start, start.Add(secondSignal)} { // the second signal is to change nothing
+		time.AfterFunc(time.Until(at), func() { r.program.Process.Signal(syscall.SIGTERM) })
+	}
 	listenerChecked := make(chan struct{})
 	time.AfterFunc(time.Until(start.Add(laterListener)), func() { // while all slow clients write
 		defer close(listenerChecked)
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -147,10 +147,11 @@
 	return []string{"h2", "http/1.1"}
 }
 
-// drain waits until the requests in flight have ended, but no longer than the longest deadline of a class or the
-// listener's drain timeout, whichever is longer, plus connectionDrainMargin.
+// drain waits until the requests in flight have ended, but no longer than the longest deadline of a class, the deadline of a
+// request that came under an earlier version, or the listener's drain timeout, whichever is longest, plus
+// connectionDrainMargin.
 func (s *listenerServer) drain() {
-	timeout := s.app.drainTimeout(&s.settings)
+	timeout := max(s.app.drainTimeout(&s.settings), s.h1.LastDeadline()-s.app.clock.Now()+connectionDrainMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	// A request whose deadline is later than this is rejected, since the end of the drain would close its connection before
--- a/internal/app/stop_test.go
+++ b/internal/app/stop_test.go
@@ -67,3 +67,49 @@
 		t.Errorf("Serve: %v", err)
 	}
 }
+
+// Guards against a request that is cut off, because a version shortened the deadlines before its listener ended: the request
+// has the time that it was given when it came.
+func TestStopAwaitsEarlierDeadlines(t *testing.T) {
+	t.Parallel()
+	received := make(chan struct{}, 1)
+	hangs := func(nc net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+			received <- struct{}{}
+			nc.Read(make([]byte, 1)) // gives no answer, so that the request ends at its deadline
+		}
+	}
+	version := func(deadline string) string {
+		return strings.ReplaceAll(strings.ReplaceAll(program, `"5s"`, deadline), "[files]", "http2_streams = 0\n[files]")
+	}
+	rooms := roomsCluster(cluster.Endpoint{ID: "1", Address: testutil.Accept(t, hangs), Weight: 1})
+	a, err := New(newConfiguration(parse(t, version(`"2s"`)), rooms), Options{Seed: 1, Log: testutil.Log(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	l := testutil.Listen(t)
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- a.Serve(ctx, l) }()
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(testutil.WaitTimeout))
+	fmt.Fprint(nc, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	testutil.Wait(t, received, "the request to be at work")
+	if err := a.Apply(newConfiguration(parse(t, version(`"100ms"`)), rooms)); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	resp.Body.Close()
+	if err := testutil.Wait(t, served, "the shutdown to end"); err != nil {
+		t.Errorf("Serve: %v", err)
+	}
+}
--- a/internal/downstream/h1server/handler.go
+++ b/internal/downstream/h1server/handler.go
@@ -88,6 +88,7 @@
 	}
 	s.lastRequestAt.Store(time.Now().UnixNano())
 	s.requestCount.Add(1)
+	s.noteDeadline(e.request.Deadline)
 	if err := e.startUpload(); err != nil {
 		s.requestIDs.release(id)
 		s.rejectLogged(w, r, err)
--- a/internal/downstream/h1server/server.go
+++ b/internal/downstream/h1server/server.go
@@ -83,6 +83,7 @@
 
 	requestCount  atomic.Int64
 	lastRequestAt atomic.Int64 // Unix nanoseconds; 0 before the first request
+	lastDeadline  atomic.Int64 // the latest deadline of a request so far, on Options.Clock, in nanoseconds
 
 	idPrefix string        // prefix of generated request IDs, random for each Server
 	lastID   atomic.Uint64 // number of the last generated ID
@@ -161,6 +162,18 @@
 // LastRequestAt returns when the last request was admitted, or the Unix epoch if there was none.
 func (s *Server) LastRequestAt() time.Time { return time.Unix(0, s.lastRequestAt.Load()) }
 
+// LastDeadline returns the latest deadline, on Options.Clock, of the requests that were admitted so far; 0 if there were none.
+func (s *Server) LastDeadline() time.Duration { return time.Duration(s.lastDeadline.Load()) }
+
+// noteDeadline records the deadline of a request that is admitted.
+func (s *Server) noteDeadline(deadline time.Duration) {
+	for last := s.lastDeadline.Load(); int64(deadline) > last; last = s.lastDeadline.Load() {
+		if s.lastDeadline.CompareAndSwap(last, int64(deadline)) {
+			return
+		}
+	}
+}
+
 // Connections returns the number of client connections.
 func (s *Server) Connections() int {
 	s.conns.mu.Lock()
