--- a/cmd/yokestall/kill_test.go
+++ b/cmd/yokestall/kill_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -107,13 +106,7 @@
 	if err := k.program.Start(); err != nil {
 		t.Fatal(err)
 	}
-	testutil.Until(t, "the program to listen", func() bool {
-		nc, err := net.Dial("tcp", k.address)
-		if err == nil {
-			nc.Close()
-		}
-		return err == nil
-	})
+	awaitListening(t, k.address)
 }
 
 // kill kills the program and waits until the process has ended.
--- a/cmd/yokestall/process_test.go
+++ b/cmd/yokestall/process_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
+
+	"yokestall/internal/testutil"
 )
 
 // process identifies a process of the operating system. The start time tells it from a later process with the same PID.
@@ -56,3 +59,15 @@
 	fields := statOf(p.pid)
 	return fields != nil && fields[startField] == p.startTime && fields[stateField] != "Z"
 }
+
+// awaitListening waits until a program listens on an address.
+func awaitListening(t *testing.T, address string) {
+	t.Helper()
+	testutil.Until(t, "the program to listen", func() bool {
+		nc, err := net.Dial("tcp", address)
+		if err == nil {
+			nc.Close()
+		}
+		return err == nil
+	})
+}
--- a/internal/app/stop_test.go
+++ b/internal/app/stop_test.go
@@ -12,9 +12,34 @@
 	"time"
 
 	"yokestall/internal/cluster"
+	"yokestall/internal/files"
 	"yokestall/internal/testutil"
 )
 
+// shortDeadline returns a version without HTTP/2 whose requests have this deadline.
+func shortDeadline(t *testing.T, deadline string, servers ...cluster.Endpoint) *files.Configuration {
+	text := strings.ReplaceAll(strings.ReplaceAll(program, `"5s"`, deadline), "[files]", "http2_streams = 0\n[files]")
+	return newConfiguration(parse(t, text), roomsCluster(servers...))
+}
+
+// serveUntilStopped runs an app on a listener until stop is called. served receives the result of App.Serve.
+func serveUntilStopped(
+	t *testing.T, first *files.Configuration,
+) (a *App, addr string, stop context.CancelFunc, served <-chan error) {
+	t.Helper()
+	a, err := New(first, Options{Seed: 1, Log: testutil.Log(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	l := testutil.Listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	ended := make(chan error, 1)
+	go func() { ended <- a.Serve(ctx, l) }()
+	return a, l.Addr().String(), stop, ended
+}
+
 // A client that connected before a graceful shutdown may send its first request when too little time for the deadline of
 // the request is left. Such a request must not be sent to a server, since the end of the shutdown would cut it off.
 func TestStopTakesNothingThatItCantAnswer(t *testing.T) {
@@ -30,19 +55,10 @@
 	for i := range 3 {
 		servers = append(servers, cluster.Endpoint{ID: fmt.Sprint(i), Address: testutil.Accept(t, hangs), Weight: 1})
 	}
-	text := strings.ReplaceAll(strings.ReplaceAll(program, `"5s"`, `"1s"`), "[files]", "http2_streams = 0\n[files]")
-	a, err := New(newConfiguration(parse(t, text), roomsCluster(servers...)), Options{Seed: 1, Log: testutil.Log(t)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer a.Close()
-	l := testutil.Listen(t)
-	ctx, stop := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	go func() { served <- a.Serve(ctx, l) }()
+	_, addr, stop, served := serveUntilStopped(t, shortDeadline(t, `"1s"`, servers...))
 	var clients []net.Conn
 	for range 3 { // all connect before the shutdown
-		nc, err := net.Dial("tcp", l.Addr().String())
+		nc, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -79,20 +95,9 @@
 			nc.Read(make([]byte, 1)) // gives no answer, so that the request ends at its deadline
 		}
 	}
-	version := func(deadline string) string {
-		return strings.ReplaceAll(strings.ReplaceAll(program, `"5s"`, deadline), "[files]", "http2_streams = 0\n[files]")
-	}
-	rooms := roomsCluster(cluster.Endpoint{ID: "1", Address: testutil.Accept(t, hangs), Weight: 1})
-	a, err := New(newConfiguration(parse(t, version(`"2s"`)), rooms), Options{Seed: 1, Log: testutil.Log(t)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer a.Close()
-	l := testutil.Listen(t)
-	ctx, stop := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	go func() { served <- a.Serve(ctx, l) }()
-	nc, err := net.Dial("tcp", l.Addr().String())
+	server := cluster.Endpoint{ID: "1", Address: testutil.Accept(t, hangs), Weight: 1}
+	a, addr, stop, served := serveUntilStopped(t, shortDeadline(t, `"2s"`, server))
+	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,7 +105,7 @@
 	nc.SetDeadline(time.Now().Add(testutil.WaitTimeout))
 	fmt.Fprint(nc, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
 	testutil.Wait(t, received, "the request to be at work")
-	if err := a.Apply(newConfiguration(parse(t, version(`"100ms"`)), rooms)); err != nil {
+	if err := a.Apply(shortDeadline(t, `"100ms"`, server)); err != nil {
 		t.Fatal(err)
 	}
 	stop()
--- a/internal/downstream/h2server/harness_test.go
+++ b/internal/downstream/h2server/harness_test.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -45,13 +46,19 @@
 // serve runs a server with HTTP/2 on a listener of its own until the end of the test, and returns its address.
 func serve(t *testing.T, to ingress.Router, clock engine.Clock) (addr string) {
 	t.Helper()
-	server := h1server.New(to, h1server.Options{
-		Clock: clock, ConnectionLimits: connlimit.Limits{Active: 64, New: 64}, Log: testutil.Log(t),
-	})
+	_, addr = serveWith(t, to, h1server.Options{Clock: clock, ConnectionLimits: connlimit.Limits{Active: 64, New: 64}})
+	return addr
+}
+
+// serveWith is serve with the options of the server, which it returns too. It sets Options.Log.
+func serveWith(t *testing.T, to ingress.Router, o h1server.Options) (server *h1server.Server, addr string) {
+	t.Helper()
+	o.Log = testutil.Log(t)
+	server = h1server.New(to, o)
 	l := testutil.Listen(t)
 	srv := server.HTTPServer()
 	h2server.Attach(srv, h2server.Options{
-		MaxStreams: 200, StallTimeout: testutil.WaitTimeout, Clock: clock, Log: testutil.Log(t),
+		MaxStreams: 200, StallTimeout: testutil.WaitTimeout, Clock: o.Clock, Log: o.Log,
 	})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(srv, server.Listener(l)) }()
@@ -59,7 +66,15 @@
 		srv.Close()
 		<-served
 	})
-	return l.Addr().String()
+	return server, l.Addr().String()
+}
+
+// serverTLS returns the TLS configuration of a server with the certificate of another one. It is nil without TLS.
+func serverTLS(certificates *httptest.Server, withTLS bool) *tls.Config {
+	if !withTLS {
+		return nil
+	}
+	return &tls.Config{Certificates: certificates.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}
 }
 
 // testClient is a client with one HTTP/2 connection.
--- a/internal/downstream/h2server/placekept_test.go
+++ b/internal/downstream/h2server/placekept_test.go
@@ -1,7 +1,6 @@
 package h2server_test
 
 import (
-	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -13,10 +12,8 @@
 
 	"yokestall/internal/connlimit"
 	"yokestall/internal/downstream/h1server"
-	"yokestall/internal/downstream/h2server"
 	"yokestall/internal/engine"
 	"yokestall/internal/ingress"
-	"yokestall/internal/testutil"
 )
 
 // heldUpRouter is a router that is held up with the first request, until the test closes release.
@@ -57,29 +54,16 @@
 	router := &heldUpRouter{entered: make(chan struct{}, 1), release: make(chan struct{})}
 	certificates := httptest.NewTLSServer(nil)
 	t.Cleanup(certificates.Close)
-	o := h1server.Options{
-		Clock: engine.NewClock(), Log: testutil.Log(t),
+	server, addr := serveWith(t, router, h1server.Options{
+		Clock: engine.NewClock(), TLS: serverTLS(certificates, withTLS),
 		ConnectionLimits: connlimit.Limits{Active: 1, New: 4, Overflow: others},
-	}
-	if withTLS {
-		o.TLS = &tls.Config{Certificates: certificates.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}
-	}
-	server := h1server.New(router, o)
-	srv := server.HTTPServer()
-	h2server.Attach(srv, h2server.Options{MaxStreams: 10, StallTimeout: testutil.WaitTimeout, Clock: o.Clock, Log: o.Log})
-	l := testutil.Listen(t)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(srv, server.Listener(l)) }()
-	t.Cleanup(func() {
-		srv.Close()
-		<-served
 	})
 	status := make(chan int, 1)
-	go func() { status <- sendOver(certificates, l.Addr().String(), withTLS, overHTTP2, body) }()
+	go func() { status <- sendOver(certificates, addr, withTLS, overHTTP2, body) }()
 	<-router.entered
 	time.Sleep(2 * connlimit.PartialGrace)
 	for range others { // want the place
-		nc, err := net.Dial("tcp", l.Addr().String())
+		nc, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/downstream/h2server/readfirst_test.go
+++ b/internal/downstream/h2server/readfirst_test.go
@@ -16,7 +16,6 @@
 
 	"yokestall/internal/connlimit"
 	"yokestall/internal/downstream/h1server"
-	"yokestall/internal/downstream/h2server"
 	"yokestall/internal/engine"
 	"yokestall/internal/fake/rawpeer"
 	"yokestall/internal/testutil"
@@ -44,23 +43,11 @@
 			router := &heldUpRouter{entered: make(chan struct{}, 1), release: make(chan struct{})}
 			certificates := httptest.NewTLSServer(nil)
 			t.Cleanup(certificates.Close)
-			o := h1server.Options{
-				Clock: engine.NewClock(), Log: testutil.Log(t), ConnectionLimits: connlimit.Limits{Active: 4, New: 4},
-			}
-			if withTLS {
-				o.TLS = &tls.Config{Certificates: certificates.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}
-			}
-			server := h1server.New(router, o)
-			srv := server.HTTPServer()
-			h2server.Attach(srv, h2server.Options{MaxStreams: 10, StallTimeout: testutil.WaitTimeout, Clock: o.Clock, Log: o.Log})
-			l := testutil.Listen(t)
-			served := make(chan error, 1)
-			go func() { served <- server.Serve(srv, server.Listener(l)) }()
-			t.Cleanup(func() {
-				srv.Close()
-				<-served
+			server, addr := serveWith(t, router, h1server.Options{
+				Clock: engine.NewClock(), TLS: serverTLS(certificates, withTLS),
+				ConnectionLimits: connlimit.Limits{Active: 4, New: 4},
 			})
-			nc, err := net.Dial("tcp", l.Addr().String())
+			nc, err := net.Dial("tcp", addr)
 			if err != nil {
 				t.Fatal(err)
 			}
